Lay the seams between parts: internal events, store requests, peer messages

Cause: parts must grow side by side without importing the life of a call. Internal events in the state's inbox carry a call from limits to claims to its attempts; store requests and peer messages are effects with typed answers.

Ruled out: parts that call each other directly, since limits, claims and calls would import in a circle.

--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -30,9 +30,39 @@
     timers.schedule(
         state.timers, call.deadline, events.DeadlinePassed(call.number)
     )
+    state.inbox.append(events.CallAdmitted(call.number))
+    return []
+
+
+def on_admitted(
+    state: core_state.State, event: events.CallAdmitted
+) -> list[effects.Effect]:
+    """Go on with a call that the limits let pass."""
+    if event.call in state.calls.calls:
+        state.inbox.append(events.CallCleared(event.call))
+    return []
+
+
+def on_cleared(
+    state: core_state.State, now: float, event: events.CallCleared
+) -> list[effects.Effect]:
+    """Start the first attempt of a call that may run."""
+    call = state.calls.calls.get(event.call)
+    if call is None:
+        return []
     return start_attempt(state, now, call)
 
 
+def on_rejected(
+    state: core_state.State, event: events.CallRejected
+) -> list[effects.Effect]:
+    """Give a call the final word that another part decided on."""
+    call = state.calls.calls.get(event.call)
+    if call is None:
+        return []
+    return give_up(state, call, event.refusal)
+
+
 def _create_call(
     service: configuration_models.Service,
     now: float,
--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
+from agateshelf.core import storage
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.peers import models as peer_models
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +71,34 @@
     """End the process: nothing is owed to anyone any more."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskStore:
+    """Send a request to the platform's store.
+
+    Attributes:
+        request: Number that its answer will carry.
+        body: The request.
+        timeout: Seconds after which it counts as unanswered.
+    """
+
+    request: int
+    body: storage.StoreRequest
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToPeers:
+    """Send a message to other entries; nobody learns whether it arrived.
+
+    Attributes:
+        peers: Identifiers of the entries.
+        message: The message.
+    """
+
+    peers: tuple[str, ...]
+    message: peer_models.PeerMessage
+
+
 Effect = (
     StartAttempt
     | CancelAttempt
@@ -77,4 +107,6 @@
     | Count
     | BecomeUnready
     | Exit
+    | AskStore
+    | SendToPeers
 )
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -6,8 +6,10 @@
 
 import dataclasses
 
+from agateshelf.core import storage
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.peers import models as peer_models
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +131,54 @@
     call: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallAdmitted:
+    """The limits let a call pass (internal)."""
+
+    call: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallRejected:
+    """A part gives a call its final word in place of an answer (internal)."""
+
+    call: int
+    refusal: outcome_models.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallCleared:
+    """A call may start its attempts: any claim it needs is held (internal)."""
+
+    call: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreAnswered:
+    """The platform's store answered a request, or did not.
+
+    Attributes:
+        request: Number the request was sent with.
+        answer: The answer.
+    """
+
+    request: int
+    answer: storage.StoreAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSpoke:
+    """Another entry's message arrived, checked to come from an entry.
+
+    Attributes:
+        peer: Identifier of the entry.
+        message: The message.
+    """
+
+    peer: str
+    message: peer_models.PeerMessage
+
+
 Event = (
     RequestArrived
     | CallerLeft
@@ -139,4 +189,9 @@
     | StopRequested
     | Tick
     | DeadlinePassed
+    | CallAdmitted
+    | CallRejected
+    | CallCleared
+    | StoreAnswered
+    | PeerSpoke
 )
--- /dev/null
+++ b/src/agateshelf/core/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries."""
--- /dev/null
+++ b/src/agateshelf/core/peers/models.py
@@ -0,0 +1,13 @@
+"""Base of the messages that entries send each other.
+
+Each part defines its own messages as data classes derived from `PeerMessage`
+in its `messages.py`; the codec of the daemon lists them. A message is never
+relied on: it may be lost, late, repeated or out of order.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """Base of all messages between entries."""
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -26,6 +26,15 @@
     Returns:
         What to do, in order.
     """
+    done = _dispatch(state, now, event)
+    while state.inbox:
+        done.extend(_dispatch(state, now, state.inbox.popleft()))
+    return done
+
+
+def _dispatch(
+    state: core_state.State, now: float, event: events.Event
+) -> list[effects.Effect]:
     match event:
         case events.RequestArrived():
             return lifecycle.on_request(state, now, event)
@@ -45,6 +54,14 @@
             return _begin_stop(state)
         case events.Tick():
             return _run_due_timers(state, now)
+        case events.CallAdmitted():
+            return lifecycle.on_admitted(state, event)
+        case events.CallCleared():
+            return lifecycle.on_cleared(state, now, event)
+        case events.CallRejected():
+            return lifecycle.on_rejected(state, event)
+        case events.StoreAnswered() | events.PeerSpoke():
+            return [effects.Count("events.not_awaited")]
 
 
 def _adopt(
@@ -67,5 +84,5 @@
 ) -> list[effects.Effect]:
     done: list[effects.Effect] = []
     for event in timers.pop_due(state.timers, now):
-        done.extend(reduce(state, now, event))
+        done.extend(_dispatch(state, now, event))
     return done
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -1,8 +1,10 @@
 """The whole state of an entry's decisions, a slice for each part."""
 
+import collections
 import dataclasses
 import random
 
+from agateshelf.core import events
 from agateshelf.core import timers
 from agateshelf.core.calls import models as call_models
 from agateshelf.core.configuration import models as configuration_models
@@ -30,6 +32,9 @@
         identity: Who this entry is.
         rng: The only source of randomness.
         cfg: The configuration in force.
+        inbox: Events that parts post to each other, reduced before the
+            reducer returns.
+        last_store_request: Number of the latest request to the store.
         stopping: Whether a graceful stop has begun.
     """
 
@@ -39,6 +44,10 @@
     calls: call_models.CallsState
     routing: routing_models.RoutingState
     timers: timers.Timers
+    inbox: collections.deque[events.Event] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    last_store_request: int = 0
     stopping: bool = False
 
 
@@ -52,3 +61,9 @@
         routing=routing_models.RoutingState(),
         timers=timers.Timers(),
     )
+
+
+def next_store_request(state: State) -> int:
+    """Return a number for a request to the store, unique in this state."""
+    state.last_store_request += 1
+    return state.last_store_request
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -1,6 +1,5 @@
 """The driver: feeds the reducer and carries its effects out."""
 
-from collections import abc
 import dataclasses
 
 import curio
@@ -13,6 +12,7 @@
 from agateshelf.core import timers
 from agateshelf.daemon import metrics
 from agateshelf.daemon.callers import exchanges
+from agateshelf.daemon.platform import store
 from agateshelf.daemon.targets import client
 
 _log = logbook.Logger("driver")
@@ -27,6 +27,7 @@
         exchanges: Callers' exchanges that wait for their final word.
         targets: Client towards the targets.
         metrics: Counters that go to the metrics service.
+        store: Client towards the platform's store.
         ready: Whether readiness checks are answered with "ready".
         exited: Set once nothing is owed to anyone.
         earlier: Set when a timer became due sooner than the last one known.
@@ -36,6 +37,7 @@
     exchanges: exchanges.Exchanges
     targets: client.TargetClient
     metrics: metrics.Metrics
+    store: store.StoreClient
     ready: bool = True
     exited: curio.Event = dataclasses.field(default_factory=curio.Event)
     earlier: curio.Event = dataclasses.field(default_factory=curio.Event)
@@ -75,6 +77,10 @@
                 _log.info("Stop requested, taking no new connections.")
             case effects.Exit():
                 await self.exited.set()
+            case effects.AskStore():
+                await self.store.ask(effect, self.post)
+            case effects.SendToPeers():
+                self.metrics.count("peers.unsent", len(effect.peers))
 
     async def run_timers(self) -> None:
         """Post a tick whenever the earliest timer is due; never returns."""
@@ -94,6 +100,3 @@
                 return
             async with curio.ignore_after(self.wakes_at - now):
                 await self.earlier.wait()
-
-
-Post = abc.Callable[[events.Event], abc.Awaitable[None]]
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -22,6 +22,7 @@
 from agateshelf.daemon.callers import exchanges
 from agateshelf.daemon.callers import server as callers
 from agateshelf.daemon.platform import configuration
+from agateshelf.daemon.platform import store
 from agateshelf.daemon.targets import client
 from agateshelf.daemon.targets import pool
 from agateshelf.documents import settings
@@ -63,6 +64,7 @@
         exchanges=exchanges.Exchanges(),
         targets=target_client,
         metrics=metrics.create_metrics(cfg.statsd),
+        store=store.StoreClient(cfg.platform.store),
     )
 
 
--- /dev/null
+++ b/src/agateshelf/daemon/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The side towards other entries."""
