Check teams, tokens and rights of configuration changes

Cause: many teams share one configuration; a team may change its own services only, and must not take another's shares, paths or probe budget.

Administration beyond loopback without a token is refused when the settings are read.

--- /dev/null
+++ b/src/agateshelf/daemon/administration/authorization.py
@@ -0,0 +1,72 @@
+"""Who speaks to the administration API, and what they may do."""
+
+from collections import abc
+import dataclasses
+import hashlib
+import hmac
+
+from agateshelf.daemon import messages
+from agateshelf.documents import teams
+
+LOCAL_TEAM = "local"
+OPERATORS_TEAM = "operators"
+
+_SCHEME = b"bearer "
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Speaker:
+    """Whoever sent a request.
+
+    Attributes:
+        team: The team.
+        token: Name of the token, for the history.
+        right: What it may do.
+    """
+
+    team: str
+    token: str
+    right: teams.Right
+
+    def may(self, needed: teams.Right) -> bool:
+        """Return whether the speaker has a right."""
+        return teams.includes(self.right, needed)
+
+
+def identify(
+    headers: messages.Headers,
+    operator_digests: abc.Sequence[str],
+    known: abc.Mapping[str, teams.TeamDocument],
+) -> Speaker | None:
+    """Return who sent a request, or None if its token is not known.
+
+    Without any token configured everyone is an administrator: the settings
+    allow that on loopback only.
+    """
+    if not operator_digests and not any(t.tokens for t in known.values()):
+        return Speaker(LOCAL_TEAM, "", teams.Right.ADMINISTER)
+    digest = _digest_of(headers)
+    if digest is None:
+        return None
+    for allowed in operator_digests:
+        if hmac.compare_digest(allowed, digest):
+            return Speaker(OPERATORS_TEAM, "settings", teams.Right.ADMINISTER)
+    return _team_speaker(digest, known)
+
+
+def _team_speaker(
+    digest: str, known: abc.Mapping[str, teams.TeamDocument]
+) -> Speaker | None:
+    for name, team in known.items():
+        for token in team.tokens:
+            if hmac.compare_digest(token.sha256, digest):
+                return Speaker(name, token.name, token.right)
+    return None
+
+
+def _digest_of(headers: messages.Headers) -> str | None:
+    value = messages.header(headers, b"authorization")
+    if value is None or not value.lower().startswith(_SCHEME):
+        return None
+    token = value[len(_SCHEME) :].strip()
+    return hashlib.sha256(token).hexdigest()
--- a/src/agateshelf/documents/configuration.py
+++ b/src/agateshelf/documents/configuration.py
@@ -8,6 +8,7 @@
 from agateshelf.core.configuration import models
 from agateshelf.documents import check
 from agateshelf.documents import settings
+from agateshelf.documents import teams as team_documents
 
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9\-]{0,62}$")]
 Method = Annotated[str, pydantic.Field(pattern=r"^[A-Z]+$")]
@@ -77,6 +78,7 @@
 
     version: Annotated[int, pydantic.Field(ge=1)]
     services: dict[Name, ServiceDocument] = {}
+    teams: dict[Name, team_documents.TeamDocument] = {}
 
     @pydantic.model_validator(mode="after")
     def check_prefixes(self) -> Self:
@@ -86,6 +88,18 @@
             raise ValueError("prefixes of services must differ")
         return self
 
+    @pydantic.model_validator(mode="after")
+    def check_teams(self) -> Self:
+        """Refuse unknown owners, and teams without an administrator."""
+        if not self.teams:
+            return self
+        for name, service in self.services.items():
+            if service.team not in self.teams:
+                raise ValueError(f"team of service {name} is not listed")
+        if not team_documents.has_administrator(self.teams):
+            raise ValueError("one token must have the right administer")
+        return self
+
 
 def to_core(document: ConfigurationDocument) -> models.Configuration:
     """Return the core form of a checked configuration."""
--- a/src/agateshelf/documents/settings.py
+++ b/src/agateshelf/documents/settings.py
@@ -1,12 +1,15 @@
 """Settings of one entry: who it is, where it listens, whom it talks to."""
 
+import ipaddress
 import pathlib
 from typing import Annotated
+from typing import Self
 
 import pydantic
 
 from agateshelf import exceptions
 from agateshelf.documents import check
+from agateshelf.documents import teams
 
 _ADDRESS = r"^[0-9A-Za-z.\-\[\]:]+:[0-9]{1,5}$"
 
@@ -23,6 +26,31 @@
     port: Port
 
 
+class AdministrationListen(Listen):
+    """Where to listen for administration, and the operators' own tokens.
+
+    Attributes:
+        token_sha256: SHA-256 digests, in hexadecimal, of tokens that may do
+            everything whatever the configuration says.
+    """
+
+    token_sha256: tuple[teams.Digest, ...] = ()
+
+    @pydantic.model_validator(mode="after")
+    def check_tokens(self) -> Self:
+        """Refuse to be open to the network without a token."""
+        if self.token_sha256 or _is_loopback(self.host):
+            return self
+        raise ValueError("beyond loopback, token_sha256 must name a token")
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
+
+
 class Platform(check.Document):
     """Addresses of the platform's services."""
 
@@ -59,7 +87,7 @@
     entry: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9\-]{0,62}$")]
     failure_domain: Annotated[str, pydantic.Field(min_length=1)]
     callers: Listen
-    administration: Listen
+    administration: AdministrationListen
     platform: Platform
     limits: Limits = Limits()
     logs: Logs = Logs()
--- /dev/null
+++ b/tests/documents/test_settings.py
@@ -0,0 +1,44 @@
+"""Tests of the settings' checks."""
+
+import pytest
+
+from agateshelf import exceptions
+from agateshelf.documents import check
+from agateshelf.documents import settings
+
+GOOD = {
+    "entry": "entry-0",
+    "failure_domain": "boston",
+    "callers": {"port": 8080},
+    "administration": {"port": 8081},
+    "platform": {"store": "127.0.0.1:1", "instances": "127.0.0.1:2"},
+}
+DIGEST = "0" * 64
+
+
+@pytest.mark.parametrize(
+    ("changes", "path"),
+    [
+        ({"entry": "Entry 0"}, "/entry"),
+        ({"callers": {"port": 70000}}, "/callers/port"),
+        ({"platform": {"store": "here", "instances": "h:1"}}, "/platform/"),
+        ({"surprise": 1}, "/surprise"),
+        ({"administration": {"host": "0.0.0.0", "port": 1}}, "/administrat"),
+    ],
+)
+def test_a_wrong_setting_is_named(changes, path):
+    with pytest.raises(exceptions.DocumentError) as caught:
+        check.check_value(settings.Settings, {**GOOD, **changes})
+    assert caught.value.path.startswith(path)
+
+
+def test_administration_beyond_loopback_needs_a_token():
+    administration = {
+        "host": "0.0.0.0",
+        "port": 1,
+        "token_sha256": [DIGEST],
+    }
+    cfg = check.check_value(
+        settings.Settings, {**GOOD, "administration": administration}
+    )
+    assert cfg.administration.token_sha256 == (DIGEST,)
