Serve the administration API by routes and rights; drain by configuration

Cause: many teams need an API where each request has a speaker and a right. Routes name the right they need; only digests of tokens are compared.

Draining a target is a change of the configuration: durable, numbered, in the history and in force everywhere, unlike a word to one entry. Ruled out: a drain kept by the entry that was asked, which would be gone with the entry.

Proof: test_a_drained_target_gets_no_new_request fails with the choice as it was and passes with the check of the target's own mark.

--- /dev/null
+++ b/src/agateshelf/cli/configuration.py
@@ -0,0 +1,193 @@
+"""Commands that look at and change the configuration."""
+
+import json
+import pathlib
+import time
+from typing import Any
+import uuid
+
+import click
+
+from agateshelf.cli import client
+from agateshelf.cli import output
+
+_POLL_SECONDS = 0.2
+_STATUS_OK = 200
+_STATUS_ACCEPTED = 202
+_PATCH_TYPE = "application/json-patch+json"
+
+
+@click.group("config")
+def group() -> None:
+    """Show and change the configuration."""
+
+
+@group.command()
+@click.pass_obj
+def show(admin: client.Administration) -> None:
+    """Print the configuration in force at an entry, as JSON."""
+    output.show_json(output.ask(admin, "GET", "/config"))
+
+
+@group.command()
+@click.argument("path", type=click.Path(path_type=pathlib.Path))
+@click.option("--version", type=int, required=True, help="Version it is for.")
+@click.option("--reason", default="", help="Why, for the history.")
+@click.option(
+    "--id", "patch_id", help="Identifier; the same one is safe to repeat."
+)
+@click.pass_obj
+def patch(
+    admin: client.Administration,
+    path: pathlib.Path,
+    version: int,
+    reason: str,
+    patch_id: str | None,
+) -> None:
+    """Submit a JSON Patch (RFC 6902) against a version."""
+    try:
+        body = path.read_bytes()
+        json.loads(body)
+    except OSError as exc:
+        output.bad_input(f"{path}: {exc.strerror}")
+    except ValueError as exc:
+        output.bad_input(f"{path}: not JSON: {exc}")
+    _submit(admin, body, version, reason, patch_id or _new_id())
+
+
+def _new_id() -> str:
+    return uuid.uuid4().hex
+
+
+def _submit(
+    admin: client.Administration,
+    body: bytes,
+    version: int,
+    reason: str,
+    patch_id: str,
+) -> None:
+    headers = (
+        ("content-type", _PATCH_TYPE),
+        ("if-match", f'"{version}"'),
+        ("patch-id", patch_id),
+        ("patch-reason", reason),
+    )
+    click.echo(f"patch {patch_id}", err=True)
+    request = client.Request("PATCH", "/config", body, headers)
+    _report(output.send(admin, request))
+
+
+def _report(reply: client.Reply) -> None:
+    if reply.status == _STATUS_OK:
+        click.echo(f"accepted as version {reply.value['version']}")
+        return
+    if reply.status == _STATUS_ACCEPTED:
+        patch_id = reply.value["patch_id"]
+        output.fail(
+            f"not known yet; ask with: agateshelf config lookup {patch_id}",
+            output.EXIT_NOT_KNOWN,
+        )
+    detail = output.fault_of(reply)
+    if isinstance(reply.value, dict) and reply.value.get("detail"):
+        detail = str(reply.value["detail"])
+    output.fail(detail, output.EXIT_REFUSED)
+
+
+@group.command()
+@click.argument("patch_id")
+@click.pass_obj
+def lookup(admin: client.Administration, patch_id: str) -> None:
+    """Ask what became of a patch."""
+    request = client.Request("GET", f"/config/patches/{patch_id}")
+    _report(output.send(admin, request))
+
+
+@group.command()
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@click.option("--limit", default=20, show_default=True)
+@click.pass_obj
+def history(admin: client.Administration, as_json: bool, limit: int) -> None:
+    """Show who changed the configuration, when and why."""
+    value = output.ask(admin, "GET", f"/config/history?limit={limit}")
+    if as_json:
+        output.show_json(value)
+        return
+    rows = [
+        (
+            change["version"],
+            time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change["time"])),
+            change["author"],
+            change["patch_id"],
+            change["reason"],
+        )
+        for change in value
+    ]
+    header = ("VERSION", "TIME (UTC)", "AUTHOR", "PATCH", "REASON")
+    output.show_rows(header, rows)
+
+
+@group.command()
+@click.argument("version", type=int)
+@click.option("--seconds", default=20.0, show_default=True)
+@click.pass_obj
+def wait(admin: client.Administration, version: int, seconds: float) -> None:
+    """Wait until every entry heard of has a version in force."""
+    end = time.monotonic() + seconds
+    while True:
+        rows = output.ask(admin, "GET", "/entries")
+        missing = [row for row in rows if not _has(row, version)]
+        if not missing or time.monotonic() >= end:
+            break
+        time.sleep(_POLL_SECONDS)
+    output.show_rows(
+        ("ENTRY", "STATE", "VERSION", "HEARD"),
+        [
+            (
+                row["entry"],
+                row["state"],
+                row["version"],
+                f"{row['heard_seconds']:.1f} s ago",
+            )
+            for row in rows
+        ],
+    )
+    if missing:
+        names = ", ".join(row["entry"] for row in missing)
+        output.fail(f"not in force at: {names}", output.EXIT_REFUSED)
+
+
+def _has(row: dict[str, Any], version: int) -> bool:
+    return row["state"] != "live" or int(row["version"]) >= version
+
+
+@click.command()
+@click.argument("service")
+@click.argument("target")
+@click.option("--undo", is_flag=True, help="Let it take requests again.")
+@click.option("--reason", default="", help="Why, for the history.")
+@click.pass_obj
+def drain(
+    admin: client.Administration,
+    service: str,
+    target: str,
+    undo: bool,
+    reason: str,
+) -> None:
+    """Have a target get no new request, by a change of the configuration."""
+    document = output.ask(admin, "GET", "/config")
+    policy = document["services"].get(service)
+    if policy is None:
+        output.bad_input(f"no service {service}")
+    names = [row["id"] for row in policy["targets"]]
+    if target not in names:
+        output.bad_input(f"service {service} has no target {target}")
+    path = f"/services/{service}/targets/{names.index(target)}/draining"
+    operation = {"op": "add", "path": path, "value": not undo}
+    body = json.dumps([operation]).encode()
+    _submit(
+        admin,
+        body,
+        document["version"],
+        reason or f"drain {target}",
+        _new_id(),
+    )
--- a/src/agateshelf/cli/main.py
+++ b/src/agateshelf/cli/main.py
@@ -1,35 +1,49 @@
 """The command-line tool `agateshelf`."""
 
-import json
+import hashlib
 import pathlib
-import sys
-from typing import Any
+import secrets
 
 import click
 
-from agateshelf import const
 from agateshelf import exceptions
 from agateshelf.cli import client
+from agateshelf.cli import configuration
+from agateshelf.cli import output
+from agateshelf.documents import check
+from agateshelf.documents import configuration as configuration_documents
 from agateshelf.documents import settings
 
-_EXIT_UNREACHABLE = 3
-_STATUS_OK = 200
+_TOKEN_BYTES = 32
 
-_admin_option = click.option(
+
+@click.group(context_settings={"auto_envvar_prefix": "AGATESHELF"})
+@click.option(
     "--admin",
     default="127.0.0.1:8081",
     show_default=True,
     help="Administration address of an entry.",
 )
-_json_option = click.option("--json", "as_json", is_flag=True, help="As JSON.")
-
-
-@click.group()
-def main() -> None:
+@click.option("--token", help="Bearer token; better set AGATESHELF_TOKEN.")
+@click.option(
+    "--authority",
+    type=click.Path(exists=True),
+    help="Certificate to trust; turns TLS on.",
+)
+@click.pass_context
+def main(
+    ctx: click.Context, admin: str, token: str | None, authority: str | None
+) -> None:
     """Look at and steer a system of agateshelf entries.
 
-    Exit status: 0 done, 1 refused, 2 bad input, 3 entry not reachable.
+    Exit status: 0 done, 1 refused, 2 bad input, 3 entry not reachable,
+    4 not known yet.
     """
+    ctx.obj = client.Administration(admin, token, authority)
+
+
+main.add_command(configuration.group)
+main.add_command(configuration.drain)
 
 
 @main.command("check-settings")
@@ -39,54 +53,71 @@
     try:
         settings.read_settings(path)
     except exceptions.DocumentError as exc:
-        click.echo(f"agateshelf: settings: {exc}", err=True)
-        sys.exit(const.EXIT_BAD_INPUT)
+        output.bad_input(f"settings: {exc}")
     click.echo("settings are valid")
 
 
+@main.command("check-configuration")
+@click.argument("path", type=click.Path(path_type=pathlib.Path))
+def check_configuration(path: pathlib.Path) -> None:
+    """Check a file that holds a whole configuration."""
+    try:
+        check.check_json(
+            configuration_documents.ConfigurationDocument, path.read_bytes()
+        )
+    except exceptions.DocumentError as exc:
+        output.bad_input(f"configuration: {exc}")
+    except OSError as exc:
+        output.bad_input(f"{path}: {exc.strerror}")
+    click.echo("configuration is valid")
+
+
+@main.command("new-token")
+def new_token() -> None:
+    """Make a bearer token and the digest that the configuration keeps."""
+    token = secrets.token_urlsafe(_TOKEN_BYTES)
+    click.echo(f"token   {token}")
+    click.echo(f"sha256  {hashlib.sha256(token.encode()).hexdigest()}")
+
+
 @main.command()
-@_admin_option
-@_json_option
-def status(admin: str, as_json: bool) -> None:
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@click.pass_obj
+def status(admin: client.Administration, as_json: bool) -> None:
     """Show how an entry is."""
-    value = _get(admin, "/status")
+    value = output.ask(admin, "GET", "/status")
     if as_json:
-        click.echo(json.dumps(value))
+        output.show_json(value)
         return
-    click.echo(f"entry          {value['entry']}")
-    click.echo(f"failure domain {value['failure_domain']}")
-    click.echo(f"ready          {value['ready']}")
-    click.echo(f"configuration  {value['version']}")
-    click.echo(f"calls          {value['calls_in_flight']} in flight")
+    click.echo(f"entry           {value['entry']}")
+    click.echo(f"failure domain  {value['failure_domain']}")
+    click.echo(f"ready           {'yes' if value['ready'] else 'no'}")
+    click.echo(f"configuration   {value['version']}")
+    click.echo(f"calls           {value['calls_in_flight']} in flight")
 
 
 @main.command()
-@_admin_option
-@_json_option
-def targets(admin: str, as_json: bool) -> None:
-    """Show what an entry believes of its targets."""
-    value = _get(admin, "/targets")
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@click.pass_obj
+def targets(admin: client.Administration, as_json: bool) -> None:
+    """Show what an entry believes of its targets, and why."""
+    value = output.ask(admin, "GET", "/targets")
     if as_json:
-        click.echo(json.dumps(value))
+        output.show_json(value)
         return
-    for row in value:
-        state = "draining" if row["draining"] else "live"
-        click.echo(
-            f"{row['service']:<20} {row['target']:<12} {row['address']:<21} "
-            f"{row['failure_domain']:<12} {state:<9} {row['in_flight']}"
+    rows = [
+        (
+            row["service"],
+            row["target"],
+            row["address"],
+            row["failure_domain"],
+            row["belief"],
+            row["in_flight"],
         )
-
-
-def _get(admin: str, path: str) -> Any:
-    try:
-        reply = client.request(admin, "GET", path)
-    except client.UnreachableError as exc:
-        click.echo(f"agateshelf: {exc}", err=True)
-        sys.exit(_EXIT_UNREACHABLE)
-    if reply.status != _STATUS_OK:
-        click.echo(f"agateshelf: status {reply.status}", err=True)
-        sys.exit(1)
-    return reply.value
+        for row in value
+    ]
+    header = ("SERVICE", "TARGET", "ADDRESS", "DOMAIN", "BELIEF", "IN FLIGHT")
+    output.show_rows(header, rows)
 
 
 if __name__ == "__main__":
--- a/src/agateshelf/core/configuration/models.py
+++ b/src/agateshelf/core/configuration/models.py
@@ -27,11 +27,13 @@
         id: Name, unique in the system.
         address: `HOST:PORT`.
         failure_domain: Where it runs.
+        draining: Whether the operators let it have no new request.
     """
 
     id: str
     address: str
     failure_domain: str
+    draining: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agateshelf/core/routing/choice.py
+++ b/src/agateshelf/core/routing/choice.py
@@ -40,7 +40,9 @@
     views = [
         view
         for view in routing.services.get(service, {}).values()
-        if not view.draining and view.target.id not in tried
+        if not view.draining
+        and not view.target.draining
+        and view.target.id not in tried
     ]
     if not views:
         return None
--- a/src/agateshelf/daemon/administration/models.py
+++ b/src/agateshelf/daemon/administration/models.py
@@ -14,15 +14,44 @@
     counts: dict[str, int]
 
 
-class TargetStatus(msgspec.Struct):
-    """What an entry believes of a target."""
+class EntryStatus(msgspec.Struct):
+    """What an entry has heard of another entry.
 
-    service: str
-    target: str
-    address: str
-    failure_domain: str
-    in_flight: int
-    draining: bool
+    Attributes:
+        version: Configuration version it said is in force there.
+        heard_seconds: Seconds since it was last heard of.
+    """
+
+    entry: str
+    state: str
+    version: int
+    heard_seconds: float
+
+
+class PatchStatus(msgspec.Struct, omit_defaults=True):
+    """What became of a patch.
+
+    Attributes:
+        patch_id: Identifier of the patch.
+        result: `accepted`, `version-moved`, `refused` or `not-known-yet`.
+        version: The version it became, or the present one.
+        detail: What was wrong with it, or how to ask again.
+    """
+
+    patch_id: str
+    result: str
+    version: int | None = None
+    detail: str = ""
+
+
+class Change(msgspec.Struct):
+    """One accepted change of the configuration."""
+
+    version: int
+    patch_id: str
+    author: str
+    reason: str
+    time: float
 
 
 class Fault(msgspec.Struct):
--- a/src/agateshelf/daemon/administration/server.py
+++ b/src/agateshelf/daemon/administration/server.py
@@ -2,23 +2,25 @@
 
 from collections import abc
 import dataclasses
+import http
 from typing import Any
 
 import h11
-import msgspec
+import logbook
 
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import messages
-from agateshelf.daemon.administration import models
+from agateshelf.daemon.administration import authorization
+from agateshelf.daemon.administration import replies
+from agateshelf.daemon.administration import reports
+from agateshelf.daemon.administration import routes
 from agateshelf.daemon.callers import problems
 from agateshelf.daemon.callers import reading
 from agateshelf.daemon.callers import writing
 from agateshelf.documents import settings
+from agateshelf.documents import teams
 
-_STATUS_OK = 200
-_STATUS_NOT_FOUND = 404
-_STATUS_UNAVAILABLE = 503
-_JSON = ((b"content-type", b"application/json"),)
+_log = logbook.Logger("administration")
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,10 +30,12 @@
     Attributes:
         driver: The driver it reports on.
         limits: What connections and requests may take.
+        operator_digests: Digests of the operators' own tokens.
     """
 
     driver: daemon_driver.Driver
     limits: settings.Limits
+    operator_digests: abc.Sequence[str] = ()
 
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
         """Serve one connection until it ends."""
@@ -56,7 +60,7 @@
                 return
             if request is None:
                 return
-            reply = self._reply_to(request)
+            reply = await self._reply_to(request)
             await writing.write_reply(
                 conn,
                 reply,
@@ -67,49 +71,44 @@
                 return
             conn.protocol.start_next_cycle()
 
-    def _reply_to(self, request: messages.Request) -> problems.Reply:
-        match request.path:
-            case b"/health":
-                return _json_reply(_STATUS_OK, {"health": "ok"})
-            case b"/ready":
-                return self._readiness()
-            case b"/status":
-                return _json_reply(_STATUS_OK, self._status())
-            case b"/targets":
-                return _json_reply(_STATUS_OK, list(self._targets()))
-            case _:
-                fault = models.Fault("no such path")
-                return _json_reply(_STATUS_NOT_FOUND, fault)
-
-    def _readiness(self) -> problems.Reply:
-        ready = self.driver.ready and self.driver.state.cfg.version > 0
-        status = _STATUS_OK if ready else _STATUS_UNAVAILABLE
-        return _json_reply(status, {"ready": ready})
-
-    def _status(self) -> models.Status:
-        state = self.driver.state
-        return models.Status(
-            entry=state.identity.entry,
-            failure_domain=state.identity.failure_domain,
-            ready=self.driver.ready,
-            version=state.cfg.version,
-            calls_in_flight=len(state.calls.calls),
-            counts=self.driver.metrics.counts,
+    async def _reply_to(self, request: messages.Request) -> problems.Reply:
+        path, query = routes.split_target(request.path)
+        open_reply = self._open_reply(path)
+        if open_reply is not None:
+            return open_reply
+        speaker = authorization.identify(
+            request.headers, self.operator_digests, self._teams()
         )
-
-    def _targets(self) -> abc.Iterator[models.TargetStatus]:
-        for service, views in self.driver.state.routing.services.items():
-            for view in views.values():
-                yield models.TargetStatus(
-                    service=service,
-                    target=view.target.id,
-                    address=view.target.address,
-                    failure_domain=view.target.failure_domain,
-                    in_flight=view.in_flight,
-                    draining=view.draining,
-                )
-
-
-def _json_reply(status: int, value: object) -> problems.Reply:
-    reason = b"OK" if status == _STATUS_OK else b""
-    return problems.Reply(status, reason, _JSON, msgspec.json.encode(value))
+        if speaker is None:
+            self.driver.metrics.count("administration.unknown_tokens")
+            return replies.fault(
+                http.HTTPStatus.UNAUTHORIZED, "a known bearer token is needed"
+            )
+        method = request.method.decode("ascii")
+        route = routes.find(routes.ROUTES, method, path)
+        if route is None:
+            return replies.fault(http.HTTPStatus.NOT_FOUND, "no such path")
+        if not speaker.may(route.right):
+            return replies.fault(
+                http.HTTPStatus.FORBIDDEN,
+                f"the right {route.right} is needed, the token has "
+                f"{speaker.right}",
+            )
+        rest = path[len(route.path) :]
+        question = routes.Question(self.driver, speaker, request, rest, query)
+        return await route.handler(question)
+
+    def _open_reply(self, path: str) -> problems.Reply | None:
+        if path == "/health":
+            return replies.reply(http.HTTPStatus.OK, {"health": "ok"})
+        if path != "/ready":
+            return None
+        ready = reports.is_ready(self.driver)
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        if ready:
+            status = http.HTTPStatus.OK
+        return replies.reply(status, {"ready": ready})
+
+    def _teams(self) -> abc.Mapping[str, teams.TeamDocument]:
+        document = self.driver.document
+        return document.teams if document is not None else {}
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -14,6 +14,7 @@
 from agateshelf.daemon.callers import exchanges
 from agateshelf.daemon.platform import store
 from agateshelf.daemon.targets import client
+from agateshelf.documents import configuration
 
 _log = logbook.Logger("driver")
 
@@ -28,6 +29,8 @@
         targets: Client towards the targets.
         metrics: Counters that go to the metrics service.
         store: Client towards the platform's store.
+        document: The checked document of the newest configuration read, for
+            the administration API.
         ready: Whether readiness checks are answered with "ready".
         exited: Set once nothing is owed to anyone.
         earlier: Set when a timer became due sooner than the last one known.
@@ -38,11 +41,21 @@
     targets: client.TargetClient
     metrics: metrics.Metrics
     store: store.StoreClient
+    document: configuration.ConfigurationDocument | None = None
     ready: bool = True
     exited: curio.Event = dataclasses.field(default_factory=curio.Event)
     earlier: curio.Event = dataclasses.field(default_factory=curio.Event)
     wakes_at: float | None = None
 
+    async def adopt(
+        self, document: configuration.ConfigurationDocument
+    ) -> None:
+        """Post a checked configuration; a lower version changes nothing."""
+        if self.document is None or document.version > self.document.version:
+            self.document = document
+        core_form = configuration.to_core(document)
+        await self.post(events.ConfigurationRead(core_form))
+
     async def post(self, event: events.Event) -> None:
         """Reduce an event and carry out what follows from it."""
         now = await curio.clock()
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -73,7 +73,7 @@
     driver = create_driver(cfg, secrets.randbits(_SEED_BITS))
     caller_server = callers.create_server(driver, cfg)
     administration_server = administration.AdministrationServer(
-        driver, cfg.limits
+        driver, cfg.limits, cfg.administration.token_sha256
     )
     listener = listening.create_listener(cfg.callers, caller_server.serve)
     administration_listener = listening.create_listener(
--- a/src/agateshelf/daemon/platform/configuration.py
+++ b/src/agateshelf/daemon/platform/configuration.py
@@ -4,7 +4,6 @@
 import logbook
 
 from agateshelf import exceptions
-from agateshelf.core import events
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon.platform import http
 from agateshelf.documents import check
@@ -42,5 +41,4 @@
     except exceptions.DocumentError as exc:
         _log.error("Stored configuration is not valid: {}.", exc)
         return
-    core_form = configuration.to_core(document)
-    await driver.post(events.ConfigurationRead(core_form))
+    await driver.adopt(document)
--- a/src/agateshelf/documents/configuration.py
+++ b/src/agateshelf/documents/configuration.py
@@ -23,6 +23,7 @@
     id: Name
     address: settings.Address
     failure_domain: str
+    draining: bool = False
 
 
 class RefusalMarkDocument(check.Document):
@@ -137,7 +138,12 @@
 
 
 def _target(document: TargetDocument) -> models.Target:
-    return models.Target(document.id, document.address, document.failure_domain)
+    return models.Target(
+        document.id,
+        document.address,
+        document.failure_domain,
+        document.draining,
+    )
 
 
 def _mark(document: RefusalMarkDocument) -> models.RefusalMark:
--- /dev/null
+++ b/tests/core/test_drain.py
@@ -0,0 +1,24 @@
+"""Tests of targets that the operators drain by the configuration."""
+
+import dataclasses
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import reducer
+from agateshelf.core.configuration import models
+
+
+def test_a_drained_target_gets_no_new_request(state, service):
+    first, *rest = service.targets
+    drained = dataclasses.replace(first, draining=True)
+    changed = dataclasses.replace(service, targets=(drained, *rest))
+    cfg = models.Configuration(2, {changed.name: changed})
+    reducer.reduce(state, 1.0, events.ConfigurationRead(cfg))
+    chosen = set()
+    for call in range(50):
+        request = events.RequestArrived(call, "d", "GET", "/bookings/1")
+        done = reducer.reduce(state, 2.0 + call, request)
+        chosen.update(
+            e.target for e in done if isinstance(e, effects.StartAttempt)
+        )
+    assert chosen == {target.id for target in rest}
