--- /dev/null
+++ b/bench/fakestore.py
@@ -0,0 +1,80 @@
+"""The platform's store for benches: the stand-in's state, asked by data."""
+
+import dataclasses
+
+from agateshelf.core import storage
+from agateshelf_standins import keyvalue
+
+
+@dataclasses.dataclass(slots=True)
+class FakeStore:
+    """A store that answers after a latency, or not at all.
+
+    Attributes:
+        keys: Its state.
+        latency: Seconds until it answers.
+        away: Whether it is out of service.
+        calls: Requests it was sent.
+    """
+
+    keys: keyvalue.KeyValueStore = dataclasses.field(
+        default_factory=keyvalue.KeyValueStore
+    )
+    latency: float = 0.002
+    away: bool = False
+    calls: int = 0
+
+    def answer(
+        self, req: storage.StoreRequest, now: float
+    ) -> storage.StoreAnswer:
+        """Answer a request."""
+        try:
+            return self._answer(req, now)
+        except keyvalue.VersionConflictError as exc:
+            return storage.Conflict(exc.version)
+        except (keyvalue.MissingKeyError, keyvalue.UnknownLeaseError):
+            return storage.Missing()
+        except keyvalue.KeyValueError:
+            return storage.Overloaded()
+
+    def _answer(
+        self, req: storage.StoreRequest, now: float
+    ) -> storage.StoreAnswer:
+        keys = self.keys
+        match req:
+            case storage.Read():
+                entry = keys.get(req.key, now=now)
+                if entry is None:
+                    return storage.Missing()
+                return storage.Found(_entry(entry))
+            case storage.Range():
+                found, more = keys.range(
+                    req.prefix, now=now, after=req.after, limit=req.limit
+                )
+                entries = tuple(_entry(e) for e in found)
+                return storage.Entries(keys.revision, entries, more)
+            case storage.Swap():
+                version = keys.put(
+                    req.key,
+                    req.value,
+                    if_version=req.expected,
+                    now=now,
+                    lease=req.lease,
+                )
+                return storage.Swapped(version)
+            case storage.Delete():
+                version = keys.delete(req.key, if_version=req.expected, now=now)
+                return storage.Swapped(version)
+            case storage.Watch():
+                changes = keys.changes(req.prefix, after=req.after, now=now)
+                names = tuple(key for key, _ in changes)
+                return storage.Changes(keys.revision, names)
+            case storage.GrantLease():
+                return storage.LeaseGranted(keys.grant(ttl_s=req.ttl, now=now))
+            case storage.RenewLease():
+                keys.renew(req.lease, now=now)
+                return storage.LeaseGranted(req.lease)
+
+
+def _entry(entry: keyvalue.Entry) -> storage.Entry:
+    return storage.Entry(entry.key, entry.version, entry.value)
--- /dev/null
+++ b/bench/sizes.py
@@ -0,0 +1,119 @@
+"""The two deployments of the brief, and their configurations."""
+
+from collections import abc
+import dataclasses
+
+from agateshelf.core.configuration import models
+
+MEAN_SERVICE_SECONDS = 0.010
+ENTRIES = 14
+REFUSAL_MARK = models.RefusalMark("request-outcome", "not-run")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceShape:
+    """Size of one service.
+
+    Attributes:
+        name: Name of the service.
+        targets: Number of its targets.
+        writes: Share of its calls that are non-idempotent.
+        priority: Class of its requests.
+    """
+
+    name: str
+    targets: int
+    writes: float
+    priority: models.Priority
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Size of one deployment of the brief.
+
+    Attributes:
+        name: Name of the deployment.
+        domains: Its failure domains.
+        latency: One-way latency between failure domains, in seconds.
+        slots: Slots of each target.
+        services: Its services.
+    """
+
+    name: str
+    domains: tuple[str, ...]
+    latency: float
+    slots: int
+    services: tuple[ServiceShape, ...]
+
+    def domain_of(self, place: int) -> str:
+        """Return the failure domain of the nth instance of a role."""
+        return self.domains[place % len(self.domains)]
+
+
+HARBORLINE = Deployment(
+    "harborline",
+    ("boston", "hartford", "portland", "providence"),
+    0.0015,
+    2,
+    (
+        ServiceShape("lookups", 8, 0.0, models.Priority.URGENT),
+        ServiceShape("bookings", 8, 0.7, models.Priority.URGENT),
+        ServiceShape("feeds", 12, 0.0, models.Priority.BACKGROUND),
+    ),
+)
+TSAGAAN = Deployment(
+    "tsagaan",
+    ("west", "centre", "east"),
+    0.0005,
+    3,
+    (
+        ServiceShape("grades", 9, 0.0, models.Priority.URGENT),
+        ServiceShape("payouts", 6, 0.7, models.Priority.URGENT),
+        ServiceShape("records", 17, 0.0, models.Priority.BACKGROUND),
+    ),
+)
+DEPLOYMENTS = (HARBORLINE, TSAGAAN)
+
+
+def create_configuration(
+    deployment: Deployment,
+    change: abc.Callable[[models.Service], models.Service] = lambda s: s,
+) -> models.Configuration:
+    """Create the configuration of a deployment, each service changed."""
+    services = {}
+    for shape in deployment.services:
+        services[shape.name] = change(_create_service(deployment, shape))
+    return models.Configuration(1, services)
+
+
+def _create_service(
+    deployment: Deployment, shape: ServiceShape
+) -> models.Service:
+    targets = tuple(
+        models.Target(
+            f"{shape.name}-{n}",
+            f"{shape.name}-{n}:1",
+            deployment.domain_of(n),
+        )
+        for n in range(shape.targets)
+    )
+    return models.Service(
+        name=shape.name,
+        team=deployment.name,
+        prefix=f"/{shape.name}/",
+        targets=targets,
+        non_idempotent=frozenset({"POST"}),
+        priority=shape.priority,
+        timeout=2.0,
+        attempt_timeout=1.0,
+        refusal_marks=(REFUSAL_MARK,),
+        probe_rate=20.0,
+        probe_bytes=20000.0,
+        retry_share=0.05,
+        slots=deployment.slots,
+        queue=64,
+        callers=(),
+        store_away=models.StoreAwayPolicy.RUN_UNCLAIMED,
+        claim_lifetime=600.0,
+        poison_crashes=2,
+    )
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -179,6 +179,42 @@
     message: peer_models.PeerMessage
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LiveEntry:
+    """An entry that is believed to be live.
+
+    Attributes:
+        id: Identifier of the entry.
+        failure_domain: Where it runs.
+    """
+
+    id: str
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntriesSeen:
+    """Which entries are believed live, this one included (internal).
+
+    Membership posts it whenever its belief changes.
+    """
+
+    entries: tuple[LiveEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetListed:
+    """The platform's list came to show a target otherwise (internal).
+
+    Attributes:
+        target: Identifier of the target.
+        leaving: Whether the list says that it is leaving.
+    """
+
+    target: str
+    leaving: bool
+
+
 Event = (
     RequestArrived
     | CallerLeft
@@ -194,4 +230,6 @@
     | CallCleared
     | StoreAnswered
     | PeerSpoke
+    | EntriesSeen
+    | TargetListed
 )
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -60,6 +60,8 @@
             return lifecycle.on_cleared(state, now, event)
         case events.CallRejected():
             return lifecycle.on_rejected(state, event)
+        case events.EntriesSeen() | events.TargetListed():
+            return []
         case events.StoreAnswered() | events.PeerSpoke():
             return [effects.Count("events.not_awaited")]
 
