Claim keys of non-idempotent requests through the store

The claims of a shard are one log: a head key replaced by compare-and-swap, spilled into leased segments. Safety rests on the head's version alone.

--- a/src/agateshelf/core/calls/ending.py
+++ b/src/agateshelf/core/calls/ending.py
@@ -23,14 +23,15 @@
         return [effects.Count("attempts.late_answers")]
     call = state.calls.calls[attempt.call]
     _learn(state, call, attempt, event)
+    _note(
+        call,
+        rules.verdict_of_answer(call.service, event.status, event.headers),
+    )
+    call.answer = rules.recorded(event.status, event.headers, event.body)
     refused = rules.is_refusal(call.service, event.headers)
     unavailable = call.idempotent and event.status == _STATUS_UNAVAILABLE
     if (refused or unavailable) and not event.streaming:
         lifecycle.end_attempt(state, attempt.number)
-        _note(
-            call,
-            rules.verdict_of_answer(call.service, event.status, event.headers),
-        )
         if _may_retry(call):
             return lifecycle.start_attempt(state, now, call)
         return _deliver(state, call, attempt)
--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -6,6 +6,8 @@
 from agateshelf.core import timers
 from agateshelf.core.calls import const
 from agateshelf.core.calls import models
+from agateshelf.core.claims import refusals as claim_refusals
+from agateshelf.core.claims import requests as claim_requests
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
@@ -35,12 +37,13 @@
 
 
 def on_admitted(
-    state: core_state.State, event: events.CallAdmitted
+    state: core_state.State, now: float, event: events.CallAdmitted
 ) -> list[effects.Effect]:
     """Go on with a call that the limits let pass."""
-    if event.call in state.calls.calls:
-        state.inbox.append(events.CallCleared(event.call))
-    return []
+    call = state.calls.calls.get(event.call)
+    if call is None:
+        return []
+    return claim_requests.begin(state, now, call)
 
 
 def on_cleared(
@@ -63,6 +66,18 @@
     return give_up(state, call, event.refusal)
 
 
+def on_replayed(
+    state: core_state.State, event: events.CallReplayed
+) -> list[effects.Effect]:
+    """Give a repeat the answer that an earlier copy had."""
+    call = state.calls.calls.get(event.call)
+    if call is None:
+        return []
+    done: list[effects.Effect] = [effects.Replay(call.number, event.answer)]
+    done.extend(end_call(state, call))
+    return done
+
+
 def _create_call(
     service: configuration_models.Service,
     now: float,
@@ -93,6 +108,8 @@
     remaining = call.deadline - now
     if remaining <= 0:
         return give_up(state, call, _deadline_refusal(call))
+    if not claim_requests.may_start(state, now, call):
+        return give_up(state, call, claim_refusals.claim_late())
     view = choice.choose(
         state.routing, call.service.name, call.tried, state.rng
     )
@@ -142,7 +159,8 @@
     """Give the call its final word at once and cancel what is in flight."""
     done: list[effects.Effect] = []
     done.extend(cancel_attempts(state, call))
-    done.append(effects.Refuse(call.number, refusal))
+    word = claim_requests.truthful(state, call, refusal)
+    done.append(effects.Refuse(call.number, word))
     done.extend(end_call(state, call))
     return done
 
@@ -154,6 +172,7 @@
     done: list[effects.Effect] = []
     for number in sorted(call.attempts):
         end_attempt(state, number)
+        call.verdict = max(call.verdict, outcome_models.Verdict.MAY_HAVE_RUN)
         done.append(effects.CancelAttempt(number))
     return done
 
@@ -163,14 +182,17 @@
 ) -> list[effects.Effect]:
     """Forget a call that has had its final word."""
     del state.calls.calls[call.number]
+    claim_requests.post_end(state, call)
     return exit_if_idle(state)
 
 
 def exit_if_idle(state: core_state.State) -> list[effects.Effect]:
     """Return the exit once a stopping entry owes nothing to anyone."""
-    if state.stopping and not state.calls.calls:
-        return [effects.Exit()]
-    return []
+    if not state.stopping or state.calls.calls:
+        return []
+    if not claim_requests.is_settled(state):
+        return []
+    return [effects.Exit()]
 
 
 def on_deadline(
--- /dev/null
+++ b/src/agateshelf/core/claims/asking.py
@@ -0,0 +1,78 @@
+"""Requests of a shard's appender to the store, their pace and failures."""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core import storage
+from agateshelf.core import timers
+from agateshelf.core.claims import const
+from agateshelf.core.claims import models
+from agateshelf.core.claims import owners
+
+
+def ask(
+    state: core_state.State,
+    now: float,
+    shard: models.Shard,
+    body: storage.StoreRequest,
+) -> effects.AskStore:
+    """Send a request to the store on behalf of a shard."""
+    number = core_state.next_store_request(state)
+    state.claims.asked[number] = models.Asked(shard.number, now)
+    return effects.AskStore(number, body, const.STORE_TIMEOUT_SECONDS)
+
+
+def note_failure(
+    state: core_state.State,
+    now: float,
+    shard: models.Shard,
+    answer: storage.StoreAnswer,
+) -> None:
+    """Count a failure; a first lost answer is looked into at once."""
+    shard.failures += 1
+    if shard.failures == 1 and isinstance(answer, storage.NoAnswer):
+        return
+    backoff = min(
+        const.STORE_BACKOFF_SECONDS * 2.0 ** min(shard.failures, 10),
+        const.MAX_STORE_BACKOFF_SECONDS,
+    )
+    shard.retry_at = now + backoff * state.rng.uniform(0.5, 1.0)
+
+
+def note_success(shard: models.Shard) -> None:
+    """Forget the failures: the store answers."""
+    shard.failures = 0
+    shard.retry_at = 0.0
+
+
+def is_away(shard: models.Shard, now: float) -> bool:
+    """Return whether the store is left alone after failures in a row."""
+    return shard.failures >= const.FAILURES_UNTIL_AWAY and now < shard.retry_at
+
+
+def take_token(
+    state: core_state.State, now: float, shard: models.Shard
+) -> bool:
+    """Take the right to one write, or set a timer for when there is one."""
+    rate = const.GUEST_WRITES_PER_SECOND
+    if owners.current_owner(state, now, shard.number) == state.identity.entry:
+        rate = const.SHARD_WRITES_PER_SECOND
+    gained = (now - shard.refilled) * rate
+    shard.tokens = min(const.SHARD_WRITE_BURST, shard.tokens + gained)
+    shard.refilled = now
+    if shard.tokens >= 1.0:
+        shard.tokens -= 1.0
+        return True
+    wake(state, shard, now + (1.0 - shard.tokens) / rate + _TIMER_SLACK_SECONDS)
+    return False
+
+
+_TIMER_SLACK_SECONDS = 1e-6
+
+
+def wake(state: core_state.State, shard: models.Shard, at: float) -> None:
+    """Have the shard looked at again at a time."""
+    if shard.wakes_at is not None and shard.wakes_at <= at:
+        return
+    shard.wakes_at = at
+    timers.schedule(state.timers, at, events.ClaimsDue(shard.number))
--- /dev/null
+++ b/src/agateshelf/core/claims/log.py
@@ -0,0 +1,90 @@
+"""Keys, values and digests of the log in the platform's store."""
+
+import hashlib
+
+import msgspec
+
+from agateshelf.core.claims import const
+from agateshelf.core.claims import models
+
+_DIGEST_BYTES = 16
+_REQUEST_BYTES = 8
+_CALL_BYTES = 6
+_VERSION_DIGITS = 16
+_LENGTH_BYTES = 4
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(models.Head)
+
+
+def digest_of(service: str, caller: str, key: str) -> bytes:
+    """Return the digest of a key in its scope.
+
+    A cryptographic digest, so that no caller can make a key that meets
+    another caller's.
+    """
+    return _digest((service, caller, key), _DIGEST_BYTES)
+
+
+def request_of(method: str, path: str, body_digest: bytes) -> bytes:
+    """Return the digest by which repeats of a key are compared."""
+    return _digest((method, path, body_digest.hex()), _REQUEST_BYTES)
+
+
+def _digest(parts: tuple[str, ...], size: int) -> bytes:
+    digest = hashlib.blake2b(digest_size=size)
+    for part in parts:
+        data = part.encode()
+        digest.update(len(data).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(data)
+    return digest.digest()
+
+
+def nonce_of(incarnation: bytes, call: int) -> bytes:
+    """Return the nonce of a call, unique over all entries and their lives."""
+    return incarnation + call.to_bytes(_CALL_BYTES, "big")
+
+
+def shard_of(digest: bytes) -> int:
+    """Return the number of the shard that a digest belongs to."""
+    return digest[0] % const.SHARDS
+
+
+def head_key(shard: int) -> str:
+    """Return the key of a shard's head."""
+    return f"{const.KEY_PREFIX}{shard:02d}/head"
+
+
+def segment_prefix(shard: int) -> str:
+    """Return the prefix of a shard's segments."""
+    return f"{const.KEY_PREFIX}{shard:02d}/segment/"
+
+
+def segment_key(shard: int, version: int, nonce: bytes) -> str:
+    """Return the key of the segment that holds a head of some version."""
+    return f"{segment_floor(shard, version)}-{nonce.hex()}"
+
+
+def segment_floor(shard: int, version: int) -> str:
+    """Return a key just before the segments of a version and later ones."""
+    return f"{segment_prefix(shard)}{version:0{_VERSION_DIGITS}d}"
+
+
+def segment_version(shard: int, key: str) -> int:
+    """Return the version of the head that a segment holds."""
+    start = len(segment_prefix(shard))
+    return int(key[start : start + _VERSION_DIGITS])
+
+
+def encode(head: models.Head) -> bytes:
+    """Return the value of a head or a segment."""
+    return _encoder.encode(head)
+
+
+def decode(value: bytes) -> models.Head:
+    """Return the head in a value.
+
+    Raises:
+        msgspec.MsgspecError: The value is malformed.
+    """
+    return _decoder.decode(value)
--- /dev/null
+++ b/src/agateshelf/core/claims/reading.py
@@ -0,0 +1,113 @@
+"""Catching up with a shard's log: its head, and the segments before it."""
+
+import msgspec
+
+from agateshelf.core import effects
+from agateshelf.core import state as core_state
+from agateshelf.core import storage
+from agateshelf.core.claims import asking
+from agateshelf.core.claims import const
+from agateshelf.core.claims import index
+from agateshelf.core.claims import log
+from agateshelf.core.claims import models
+
+_EMPTY_HEAD = models.Head(since=0, records=[])
+
+
+def read_head(
+    state: core_state.State, now: float, shard: models.Shard
+) -> list[effects.Effect]:
+    """Read the head of a shard's log."""
+    shard.phase = models.Phase.READING_HEAD
+    body = storage.Read(log.head_key(shard.number))
+    return [asking.ask(state, now, shard, body)]
+
+
+def on_head(
+    state: core_state.State,
+    now: float,
+    shard: models.Shard,
+    answer: storage.StoreAnswer,
+) -> list[effects.Effect]:
+    """Take the head in, or read the segments that it builds upon first."""
+    match answer:
+        case storage.Missing():
+            head, version = _EMPTY_HEAD, 0
+        case storage.Found(entry):
+            try:
+                head, version = log.decode(entry.value), entry.version
+            except msgspec.MsgspecError:
+                return _fail(state, now, shard, answer)
+        case _:
+            return _fail(state, now, shard, answer)
+    if version < shard.version:
+        return _fail(state, now, shard, answer)
+    shard.reading = head
+    shard.reading_version = version
+    if head.since > shard.version:
+        after = log.segment_floor(shard.number, shard.version)
+        return _read_segments(state, now, shard, after)
+    _adopt(shard, now)
+    return []
+
+
+def on_segments(
+    state: core_state.State,
+    now: float,
+    shard: models.Shard,
+    answer: storage.StoreAnswer,
+) -> list[effects.Effect]:
+    """Take a page of segments in; the head follows the last page."""
+    if not isinstance(answer, storage.Entries):
+        return _fail(state, now, shard, answer)
+    if answer.revision < shard.reading_version:
+        return _fail(state, now, shard, answer)
+    for entry in answer.entries:
+        version = log.segment_version(shard.number, entry.key)
+        if version > shard.reading_version:
+            break
+        try:
+            segment = log.decode(entry.value)
+        except msgspec.MsgspecError:
+            return _fail(state, now, shard, answer)
+        index.learn(shard, now, segment.records)
+    if answer.more and answer.entries:
+        after = answer.entries[-1].key
+        return _read_segments(state, now, shard, after)
+    _adopt(shard, now)
+    return []
+
+
+def _read_segments(
+    state: core_state.State, now: float, shard: models.Shard, after: str
+) -> list[effects.Effect]:
+    shard.phase = models.Phase.READING_SEGMENTS
+    body = storage.Range(
+        log.segment_prefix(shard.number), after, const.SEGMENTS_PER_READ
+    )
+    return [asking.ask(state, now, shard, body)]
+
+
+def _adopt(shard: models.Shard, now: float) -> None:
+    head = shard.reading or _EMPTY_HEAD
+    index.learn(shard, now, head.records)
+    if shard.reading_version != shard.version:
+        shard.spilled = False
+    shard.version = shard.reading_version
+    shard.since = head.since
+    shard.recent = {record.digest: record for record in head.records}
+    shard.recent_bytes = len(log.encode(head))
+    shard.reading = None
+    shard.phase = models.Phase.READY
+
+
+def _fail(
+    state: core_state.State,
+    now: float,
+    shard: models.Shard,
+    answer: storage.StoreAnswer,
+) -> list[effects.Effect]:
+    asking.note_failure(state, now, shard, answer)
+    shard.reading = None
+    shard.phase = models.Phase.COLD
+    return []
--- /dev/null
+++ b/src/agateshelf/core/claims/requests.py
@@ -0,0 +1,320 @@
+"""The claims of this entry's own calls, from the proposal to the end."""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core import timers
+from agateshelf.core.calls import models as call_models
+from agateshelf.core.claims import const
+from agateshelf.core.claims import log
+from agateshelf.core.claims import messages
+from agateshelf.core.claims import models
+from agateshelf.core.claims import owners
+from agateshelf.core.claims import refusals
+from agateshelf.core.claims import shards
+from agateshelf.core.configuration import models as configuration_models
+from agateshelf.core.outcomes import models as outcome_models
+
+_RUN_UNCLAIMED = configuration_models.StoreAwayPolicy.RUN_UNCLAIMED
+
+
+def is_needed(call: call_models.Call) -> bool:
+    """Return whether a call may start only with a claim."""
+    return not call.idempotent and call.idempotency_key is not None
+
+
+def begin(
+    state: core_state.State, now: float, call: call_models.Call
+) -> list[effects.Effect]:
+    """Claim the key of a call, or clear the call at once if it needs none."""
+    if not is_needed(call):
+        state.inbox.append(events.CallCleared(call.number))
+        return []
+    record = models.Record(
+        digest=log.digest_of(
+            call.service.name, call.caller, call.idempotency_key or ""
+        ),
+        nonce=log.nonce_of(state.claims.incarnation, call.number),
+        request=log.request_of(call.method, call.path, call.body_digest),
+        state=models.RecordState.CLAIMED,
+    )
+    owner = owners.current_owner(state, now, log.shard_of(record.digest))
+    direct = owner == state.identity.entry
+    claim = models.Claim(call.number, record, now, owner, direct)
+    state.claims.claims[call.number] = claim
+    state.claims.calls_by_nonce[record.nonce] = call.number
+    overdue = events.ClaimOverdue(record.nonce)
+    timers.schedule(state.timers, now + const.CLAIM_PATIENCE_SECONDS, overdue)
+    if not direct:
+        patience = const.OWNER_PATIENCE_SECONDS
+        timers.schedule(state.timers, now + patience, overdue)
+    return _propose(state, now, record, owner)
+
+
+def _propose(
+    state: core_state.State, now: float, record: models.Record, owner: str
+) -> list[effects.Effect]:
+    if owner == state.identity.entry:
+        return shards.submit(state, now, record, peer=None)
+    message = messages.RecordsProposed((record,))
+    return [effects.SendToPeers((owner,), message)]
+
+
+def on_peer_proposal(
+    state: core_state.State,
+    now: float,
+    peer: str,
+    message: messages.RecordsProposed,
+) -> list[effects.Effect]:
+    """Append records for another entry."""
+    done: list[effects.Effect] = []
+    for record in message.records:
+        done.extend(shards.submit(state, now, record, peer))
+    return done
+
+
+def on_peer_decision(
+    state: core_state.State, peer: str, message: messages.RecordsDecided
+) -> list[effects.Effect]:
+    """Take in an owner's words."""
+    owners.trust(state, peer)
+    state.inbox.extend(
+        events.ClaimDecided(decision, peer) for decision in message.decisions
+    )
+    return []
+
+
+def on_decided(
+    state: core_state.State, now: float, event: events.ClaimDecided
+) -> list[effects.Effect]:
+    """Go on with a call by the word on its claim."""
+    decision = event.decision
+    if decision.word is models.Word.KEPT:
+        return _on_kept(state, decision)
+    claim = _waiting_claim(state, decision.nonce)
+    if claim is None:
+        return []
+    match decision.word:
+        case models.Word.GRANTED:
+            return _on_granted(state, now, claim)
+        case models.Word.AWAY if event.peer is not None:
+            return _go_direct(state, now, claim)
+        case models.Word.AWAY:
+            return _on_away(state, claim)
+    return _refuse_repeat(state, claim, decision)
+
+
+def _waiting_claim(
+    state: core_state.State, nonce: bytes
+) -> models.Claim | None:
+    call = state.claims.calls_by_nonce.get(nonce)
+    claim = None if call is None else state.claims.claims.get(call)
+    if claim is None or claim.stage is not models.Stage.ASKED:
+        return None
+    return claim
+
+
+def _on_granted(
+    state: core_state.State, now: float, claim: models.Claim
+) -> list[effects.Effect]:
+    if not _is_recent(claim, now):
+        return _reject(state, claim, refusals.claim_late())
+    claim.stage = models.Stage.HELD
+    state.inbox.append(events.CallCleared(claim.call))
+    return []
+
+
+def _is_recent(claim: models.Claim, now: float) -> bool:
+    return now - claim.asked <= const.USE_WITHIN_SECONDS
+
+
+def may_start(
+    state: core_state.State, now: float, call: call_models.Call
+) -> bool:
+    """Return whether the call's claim, if it needs one, still holds."""
+    if not is_needed(call):
+        return True
+    claim = state.claims.claims.get(call.number)
+    if claim is None:
+        return False
+    if claim.stage is models.Stage.HELD:
+        return _is_recent(claim, now)
+    return claim.stage is models.Stage.UNCLAIMED
+
+
+def _on_away(
+    state: core_state.State, claim: models.Claim
+) -> list[effects.Effect]:
+    call = state.calls.calls.get(claim.call)
+    if call is not None and call.service.store_away is _RUN_UNCLAIMED:
+        claim.stage = models.Stage.UNCLAIMED
+        state.inbox.append(events.CallCleared(claim.call))
+        return [effects.Count("claims.run_unclaimed")]
+    done: list[effects.Effect] = [effects.Count("claims.store_away")]
+    done.extend(_reject(state, claim, refusals.store_away()))
+    return done
+
+
+def _reject(
+    state: core_state.State,
+    claim: models.Claim,
+    refusal: outcome_models.Refusal,
+) -> list[effects.Effect]:
+    claim.stage = models.Stage.REJECTED
+    state.inbox.append(events.CallRejected(claim.call, refusal))
+    return []
+
+
+def _refuse_repeat(
+    state: core_state.State, claim: models.Claim, decision: models.Decision
+) -> list[effects.Effect]:
+    known = decision.known
+    match decision.word:
+        case models.Word.MISMATCH:
+            refusal = refusals.mismatch()
+        case models.Word.ANSWERED if known is not None:
+            if known.body is not None:
+                return _replay(state, claim, known)
+            refusal = refusals.not_kept(known.status)
+        case models.Word.UNKNOWN:
+            refusal = refusals.never_known()
+        case _:
+            refusal = refusals.in_flight()
+    done: list[effects.Effect] = [effects.Count("claims.repeats_refused")]
+    done.extend(_reject(state, claim, refusal))
+    return done
+
+
+def _replay(
+    state: core_state.State, claim: models.Claim, known: models.Record
+) -> list[effects.Effect]:
+    answer = outcome_models.RecordedAnswer(
+        known.status, known.content_type, known.body
+    )
+    claim.stage = models.Stage.REJECTED
+    state.inbox.append(events.CallReplayed(claim.call, answer))
+    return [effects.Count("claims.replayed")]
+
+
+def on_overdue(
+    state: core_state.State, now: float, event: events.ClaimOverdue
+) -> list[effects.Effect]:
+    """Stop relying on an owner that is silent, or on a store that is."""
+    claim = _waiting_claim(state, event.nonce)
+    if claim is not None:
+        if now - claim.asked >= const.CLAIM_PATIENCE_SECONDS:
+            return _on_away(state, claim)
+        until = now + const.OWNER_SUSPECTED_SECONDS
+        owners.suspect(state, until, claim.owner)
+        return _go_direct(state, now, claim)
+    untold = state.claims.untold.get(event.nonce)
+    if untold is None:
+        return []
+    return _hurry(state, now, untold)
+
+
+def _go_direct(
+    state: core_state.State, now: float, claim: models.Claim
+) -> list[effects.Effect]:
+    if claim.direct:
+        return []
+    claim.direct = True
+    done: list[effects.Effect] = [effects.Count("claims.direct")]
+    done.extend(shards.submit(state, now, claim.record, peer=None))
+    return done
+
+
+def post_end(state: core_state.State, call: call_models.Call) -> None:
+    """Post the end of a call, if it has a claim to be ended."""
+    if call.number in state.claims.claims:
+        event = events.ClaimEnded(call.number, call.verdict, call.answer)
+        state.inbox.append(event)
+
+
+def on_ended(
+    state: core_state.State, now: float, event: events.ClaimEnded
+) -> list[effects.Effect]:
+    """Record how a claimed call ended, so that repeats are told."""
+    claim = state.claims.claims.pop(event.call)
+    nonce = claim.record.nonce
+    del state.claims.calls_by_nonce[nonce]
+    record = _end_of(claim, event)
+    owner = owners.current_owner(state, now, log.shard_of(record.digest))
+    direct = owner == state.identity.entry
+    state.claims.untold[nonce] = models.Untold(record, now, direct)
+    patience = const.OUTCOME_PATIENCE_SECONDS
+    overdue = events.ClaimOverdue(nonce)
+    timers.schedule(state.timers, now + patience, overdue)
+    return _propose(state, now, record, owner)
+
+
+def _end_of(claim: models.Claim, event: events.ClaimEnded) -> models.Record:
+    claimed = claim.record
+    if event.verdict is outcome_models.Verdict.DID_NOT_RUN:
+        return _with_state(claimed, models.RecordState.RELEASED)
+    answer = event.answer
+    if answer is None:
+        return _with_state(claimed, models.RecordState.UNKNOWN)
+    return models.Record(
+        digest=claimed.digest,
+        nonce=claimed.nonce,
+        request=claimed.request,
+        state=models.RecordState.ANSWERED,
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body,
+    )
+
+
+def _with_state(
+    record: models.Record, state: models.RecordState
+) -> models.Record:
+    return models.Record(record.digest, record.nonce, record.request, state)
+
+
+def _hurry(
+    state: core_state.State, now: float, untold: models.Untold
+) -> list[effects.Effect]:
+    if now - untold.since >= const.SETTLE_PATIENCE_SECONDS and state.stopping:
+        return _on_kept_nonce(state, untold.record.nonce)
+    overdue = events.ClaimOverdue(untold.record.nonce)
+    at = now + const.OUTCOME_PATIENCE_SECONDS
+    timers.schedule(state.timers, at, overdue)
+    if untold.direct:
+        return []
+    untold.direct = True
+    return shards.submit(state, now, untold.record, peer=None)
+
+
+def _on_kept(
+    state: core_state.State, decision: models.Decision
+) -> list[effects.Effect]:
+    return _on_kept_nonce(state, decision.nonce)
+
+
+def _on_kept_nonce(
+    state: core_state.State, nonce: bytes
+) -> list[effects.Effect]:
+    state.claims.untold.pop(nonce, None)
+    if state.stopping and is_settled(state):
+        state.inbox.append(events.ClaimsSettled())
+    return []
+
+
+def is_settled(state: core_state.State) -> bool:
+    """Return whether every end of a claim has been confirmed."""
+    return not state.claims.untold and not state.claims.claims
+
+
+def truthful(
+    state: core_state.State,
+    call: call_models.Call,
+    refusal: outcome_models.Refusal,
+) -> outcome_models.Refusal:
+    """Return a refusal that is true of the key, not only of this copy."""
+    if not is_needed(call):
+        return refusal
+    claim = state.claims.claims.get(call.number)
+    if claim is not None and claim.stage is models.Stage.HELD:
+        return refusal
+    return refusals.of_undecided_key(refusal)
--- /dev/null
+++ b/src/agateshelf/core/claims/shards.py
@@ -0,0 +1,147 @@
+"""The appender of a shard: takes proposals, and drives reading and writing."""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core import storage
+from agateshelf.core.claims import appending
+from agateshelf.core.claims import asking
+from agateshelf.core.claims import const
+from agateshelf.core.claims import index
+from agateshelf.core.claims import log
+from agateshelf.core.claims import models
+from agateshelf.core.claims import reading
+from agateshelf.core.claims import rules
+
+_CLAIMED = models.RecordState.CLAIMED
+
+
+def submit(
+    state: core_state.State,
+    now: float,
+    record: models.Record,
+    peer: str | None,
+) -> list[effects.Effect]:
+    """Take a proposed record of this entry, or of a peer."""
+    shard = _shard(state, log.shard_of(record.digest))
+    proposal = models.Proposal(record, peer, now)
+    if _must_turn_away(shard, now, record):
+        return _turn_away(state, shard, [proposal])
+    shard.queue.append(proposal)
+    return advance(state, now, shard)
+
+
+def _shard(state: core_state.State, number: int) -> models.Shard:
+    shard = state.claims.shards.get(number)
+    if shard is None:
+        shard = models.Shard(number, tokens=const.SHARD_WRITE_BURST)
+        state.claims.shards[number] = shard
+    return shard
+
+
+def _must_turn_away(
+    shard: models.Shard, now: float, record: models.Record
+) -> bool:
+    if record.state is not _CLAIMED:
+        return False
+    full = len(shard.queue) >= const.MAX_QUEUE_RECORDS
+    return full or asking.is_away(shard, now)
+
+
+def _turn_away(
+    state: core_state.State,
+    shard: models.Shard,
+    proposals: list[models.Proposal],
+) -> list[effects.Effect]:
+    """Answer without the store: repeats by what is known, the rest "away"."""
+    decisions = []
+    for proposal in proposals:
+        known = index.lookup(shard, proposal.record.digest)
+        word, write = rules.decide(known, proposal.record)
+        if write is not None:
+            word = models.Word.AWAY
+        decisions.append(appending.decision_of(proposal.record, word, known))
+    return appending.tell(state, proposals, decisions)
+
+
+def advance(
+    state: core_state.State, now: float, shard: models.Shard
+) -> list[effects.Effect]:
+    """Take the next step, unless the store has yet to answer the last one."""
+    if not shard.queue:
+        return []
+    if now < shard.retry_at:
+        asking.wake(state, shard, shard.retry_at)
+        return []
+    match shard.phase:
+        case models.Phase.COLD:
+            return reading.read_head(state, now, shard)
+        case models.Phase.READY:
+            return appending.append(state, now, shard)
+        case _:
+            return []
+
+
+def on_due(
+    state: core_state.State, now: float, event: events.ClaimsDue
+) -> list[effects.Effect]:
+    """Look at a shard again: a write is allowed, or the store may be back."""
+    shard = _shard(state, event.shard)
+    shard.wakes_at = None
+    return advance(state, now, shard)
+
+
+def on_store_answer(
+    state: core_state.State, now: float, event: events.StoreAnswered
+) -> list[effects.Effect]:
+    """Take in an answer to one of the appender's requests."""
+    asked = state.claims.asked.pop(event.request)
+    shard = _shard(state, asked.shard)
+    failures = shard.failures
+    done = _take_in(state, now, shard, event.answer, asked.at)
+    if shard.failures == failures:
+        asking.note_success(shard)
+    elif shard.failures >= const.FAILURES_UNTIL_AWAY:
+        done.extend(_turn_claims_away(state, shard))
+    done.extend(_advance_all(state, now, shard))
+    return done
+
+
+def _advance_all(
+    state: core_state.State, now: float, shard: models.Shard
+) -> list[effects.Effect]:
+    if shard.phase in (models.Phase.COLD, models.Phase.READY):
+        return advance(state, now, shard)
+    return []
+
+
+def _take_in(
+    state: core_state.State,
+    now: float,
+    shard: models.Shard,
+    answer: storage.StoreAnswer,
+    asked_at: float,
+) -> list[effects.Effect]:
+    match shard.phase:
+        case models.Phase.READING_HEAD:
+            return reading.on_head(state, now, shard, answer)
+        case models.Phase.READING_SEGMENTS:
+            return reading.on_segments(state, now, shard, answer)
+        case models.Phase.SWAPPING:
+            return appending.on_swapped(state, now, shard, answer)
+        case models.Phase.SPILLING:
+            return appending.on_spilled(state, now, shard, answer)
+        case models.Phase.LEASING:
+            return appending.on_leased(state, now, shard, answer, asked_at)
+        case _:
+            return []
+
+
+def _turn_claims_away(
+    state: core_state.State, shard: models.Shard
+) -> list[effects.Effect]:
+    claims = [p for p in shard.queue if p.record.state is _CLAIMED]
+    kept = [p for p in shard.queue if p.record.state is not _CLAIMED]
+    shard.queue.clear()
+    shard.queue.extend(kept)
+    return _turn_away(state, shard, claims)
--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -45,6 +45,14 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """Give the caller the recorded answer of an earlier copy."""
+
+    call: int
+    answer: outcome_models.RecordedAnswer
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
     """Give the caller a final word in place of a target's answer."""
@@ -103,6 +111,7 @@
     StartAttempt
     | CancelAttempt
     | DeliverAnswer
+    | Replay
     | Refuse
     | Count
     | BecomeUnready
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from agateshelf.core import storage
+from agateshelf.core.claims import models as claim_models
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
@@ -72,6 +73,7 @@
         streaming: Whether more of the body is still to come.
         load: Load carried on the answer.
         draining: Whether the target said that it is leaving.
+        body: The body if it is whole and small, for repeats.
     """
 
     attempt: int
@@ -80,6 +82,7 @@
     streaming: bool = False
     load: TargetLoad | None = None
     draining: bool = False
+    body: bytes | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,6 +156,61 @@
     call: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallReplayed:
+    """A call repeats an ended one and gets its answer (internal)."""
+
+    call: int
+    answer: outcome_models.RecordedAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimDecided:
+    """An appender decided a proposed record (internal).
+
+    Attributes:
+        decision: The decision.
+        peer: The entry that appends; None for this one.
+    """
+
+    decision: claim_models.Decision
+    peer: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimEnded:
+    """A claimed call had its final word (internal).
+
+    Attributes:
+        call: Number of the call.
+        verdict: The worst verdict of its attempts.
+        answer: What is kept of its answer, if it had one.
+    """
+
+    call: int
+    verdict: outcome_models.Verdict
+    answer: outcome_models.RecordedAnswer | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimsSettled:
+    """The ends of all claims of a stopping entry are recorded (internal)."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimOverdue:
+    """A proposed record may have waited too long (timer)."""
+
+    nonce: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimsDue:
+    """A shard of claims may go on (timer)."""
+
+    shard: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreAnswered:
     """The platform's store answered a request, or did not.
@@ -228,6 +286,12 @@
     | CallAdmitted
     | CallRejected
     | CallCleared
+    | CallReplayed
+    | ClaimDecided
+    | ClaimEnded
+    | ClaimsSettled
+    | ClaimOverdue
+    | ClaimsDue
     | StoreAnswered
     | PeerSpoke
     | EntriesSeen
--- a/src/agateshelf/core/outcomes/models.py
+++ b/src/agateshelf/core/outcomes/models.py
@@ -30,6 +30,22 @@
 
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordedAnswer:
+    """What is kept of an answer, for repeats of its request.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Content type; empty if there was none.
+        body: The body; None if it is too large to be kept.
+    """
+
+    status: int
+    content_type: str
+    body: bytes | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agateshelf/core/outcomes/rules.py
+++ b/src/agateshelf/core/outcomes/rules.py
@@ -38,6 +38,14 @@
     return models.Verdict.RAN
 
 
+def recorded(
+    status: int, headers: tuple[tuple[str, str], ...], body: bytes | None
+) -> models.RecordedAnswer:
+    """Return what is kept of an answer."""
+    content_type = dict(headers).get("content-type", "")
+    return models.RecordedAnswer(status, content_type, body)
+
+
 def is_refusal(
     service: configuration_models.Service,
     headers: tuple[tuple[str, str], ...],
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -10,6 +10,9 @@
 from agateshelf.core import timers
 from agateshelf.core.calls import ending
 from agateshelf.core.calls import lifecycle
+from agateshelf.core.claims import handling as claim_handling
+from agateshelf.core.claims import messages as claim_messages
+from agateshelf.core.claims import shards as claim_shards
 from agateshelf.core.routing import choice
 
 
@@ -55,14 +58,47 @@
         case events.Tick():
             return _run_due_timers(state, now)
         case events.CallAdmitted():
-            return lifecycle.on_admitted(state, event)
+            return lifecycle.on_admitted(state, now, event)
         case events.CallCleared():
             return lifecycle.on_cleared(state, now, event)
         case events.CallRejected():
             return lifecycle.on_rejected(state, event)
         case events.EntriesSeen() | events.TargetListed():
             return []
-        case events.StoreAnswered() | events.PeerSpoke():
+        case events.CallReplayed():
+            return lifecycle.on_replayed(state, event)
+        case events.ClaimsSettled():
+            return lifecycle.exit_if_idle(state)
+        case (
+            events.ClaimDecided()
+            | events.ClaimEnded()
+            | events.ClaimOverdue()
+            | events.ClaimsDue()
+        ):
+            return claim_handling.on_event(state, now, event)
+        case events.StoreAnswered():
+            return _on_store_answer(state, now, event)
+        case events.PeerSpoke():
+            return _on_peer_message(state, now, event)
+
+
+def _on_store_answer(
+    state: core_state.State, now: float, event: events.StoreAnswered
+) -> list[effects.Effect]:
+    if event.request in state.claims.asked:
+        return claim_shards.on_store_answer(state, now, event)
+    return [effects.Count("events.not_awaited")]
+
+
+def _on_peer_message(
+    state: core_state.State, now: float, event: events.PeerSpoke
+) -> list[effects.Effect]:
+    match event.message:
+        case (
+            claim_messages.RecordsProposed() | claim_messages.RecordsDecided()
+        ) as message:
+            return claim_handling.on_message(state, now, event.peer, message)
+        case _:
             return [effects.Count("events.not_awaited")]
 
 
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -7,6 +7,7 @@
 from agateshelf.core import events
 from agateshelf.core import timers
 from agateshelf.core.calls import models as call_models
+from agateshelf.core.claims import models as claim_models
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.routing import models as routing_models
 
@@ -44,6 +45,7 @@
     calls: call_models.CallsState
     routing: routing_models.RoutingState
     timers: timers.Timers
+    claims: claim_models.ClaimsState
     inbox: collections.deque[events.Event] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -53,13 +55,17 @@
 
 def create_state(identity: Identity, seed: int) -> State:
     """Create the state of an entry that has just started."""
+    rng = random.Random(seed)
     return State(
         identity=identity,
-        rng=random.Random(seed),
+        rng=rng,
         cfg=configuration_models.create_empty(),
         calls=call_models.CallsState(),
         routing=routing_models.RoutingState(),
         timers=timers.Timers(),
+        claims=claim_models.create_state(
+            identity.entry, rng.randbytes(claim_models.INCARNATION_BYTES)
+        ),
     )
 
 
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -13,6 +13,7 @@
 from agateshelf.daemon import metrics
 from agateshelf.daemon.callers import exchanges
 from agateshelf.daemon.platform import store
+from agateshelf.daemon.targets import answers
 from agateshelf.daemon.targets import client
 from agateshelf.documents import configuration
 
@@ -81,6 +82,9 @@
             case effects.DeliverAnswer():
                 answer = self.targets.take_answer(effect.attempt)
                 await self.exchanges.deliver(effect.call, answer)
+            case effects.Replay():
+                answer = answers.replayed(effect.answer)
+                await self.exchanges.deliver(effect.call, answer)
             case effects.Refuse():
                 await self.exchanges.refuse(effect.call, effect.refusal)
             case effects.Count():
--- a/src/agateshelf/daemon/targets/answers.py
+++ b/src/agateshelf/daemon/targets/answers.py
@@ -1,7 +1,10 @@
 """Answers of targets, held whole or streaming."""
 
 import dataclasses
+import http
 
+from agateshelf import const
+from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.daemon import messages
 from agateshelf.daemon.targets import connection
 
@@ -25,3 +28,26 @@
     body: bytes
     source: connection.TargetConnection | None
     attempt: int
+
+
+def replayed(recorded: outcome_models.RecordedAnswer) -> Answer:
+    """Return the recorded answer of an earlier copy, marked as such."""
+    headers = [(const.HEADER_REPLAYED.encode(), b"1")]
+    if recorded.content_type:
+        content_type = recorded.content_type.encode("latin-1")
+        headers.append((b"content-type", content_type))
+    return Answer(
+        status=recorded.status,
+        reason=_phrase(recorded.status),
+        headers=tuple(headers),
+        body=recorded.body or b"",
+        source=None,
+        attempt=0,
+    )
+
+
+def _phrase(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
--- a/src/agateshelf/daemon/targets/load.py
+++ b/src/agateshelf/daemon/targets/load.py
@@ -2,6 +2,7 @@
 
 from agateshelf import const
 from agateshelf.core import events
+from agateshelf.core.claims import const as claim_const
 from agateshelf.daemon import messages
 from agateshelf.daemon.targets import answers
 
@@ -22,9 +23,17 @@
         streaming=answer.source is not None,
         load=parse_load(messages.header(answer.headers, _LOAD)),
         draining=state == const.STATE_DRAINING.encode(),
+        body=_small_body(answer),
     )
 
 
+def _small_body(answer: answers.Answer) -> bytes | None:
+    whole = answer.source is None
+    if whole and len(answer.body) <= claim_const.MAX_RECORDED_BODY_BYTES:
+        return answer.body
+    return None
+
+
 def parse_load(value: bytes | None) -> events.TargetLoad | None:
     """Return the load in a header like `in-flight=3, queued=1, slots=2`."""
     if value is None:
