Prove claims in virtual time: scenes and a state machine against a ledger

Two or three reducers share a fake store that goes away, loses answers and lets writes take effect late; entries pause, die and are replaced; messages between them are lost. Every word told is held against what the targets ran.

An entry that was stopped for a while distrusts the requests it then reads: they may have waited in a socket for longer than claims are remembered.

--- a/src/agateshelf/core/claims/const.py
+++ b/src/agateshelf/core/claims/const.py
@@ -26,6 +26,9 @@
 OUTCOME_PATIENCE_SECONDS: Final = 1.0
 SETTLE_PATIENCE_SECONDS: Final = 2.0
 MIN_LIFETIME_SECONDS: Final = 60.0
+BEAT_SECONDS: Final = 1.0
+PAUSE_LIMIT_SECONDS: Final = 5.0
+DISTRUST_SECONDS: Final = 1.0
 LEASE_USE_SECONDS: Final = 60.0
 
 MAX_RECORDED_BODY_BYTES: Final = 1024
@@ -39,4 +42,5 @@
 REASON_NOT_KEPT: Final = "answer-not-kept"
 REASON_NEVER_KNOWN: Final = "outcome-not-known"
 REASON_STORE_AWAY: Final = "claims-unavailable"
+REASON_ENTRY_PAUSED: Final = "entry-was-paused"
 REASON_CLAIM_LATE: Final = "claim-too-late"
--- a/src/agateshelf/core/claims/handling.py
+++ b/src/agateshelf/core/claims/handling.py
@@ -4,6 +4,7 @@
 from agateshelf.core import events
 from agateshelf.core import state as core_state
 from agateshelf.core.claims import messages
+from agateshelf.core.claims import pauses
 from agateshelf.core.claims import requests
 from agateshelf.core.claims import shards
 
@@ -12,6 +13,7 @@
     | events.ClaimEnded
     | events.ClaimOverdue
     | events.ClaimsDue
+    | events.ClaimsBeat
 )
 ClaimMessage = messages.RecordsProposed | messages.RecordsDecided
 
@@ -29,6 +31,8 @@
             return requests.on_overdue(state, now, event)
         case events.ClaimsDue():
             return shards.on_due(state, now, event)
+        case events.ClaimsBeat():
+            return pauses.on_beat(state, now)
 
 
 def on_message(
--- a/src/agateshelf/core/claims/models.py
+++ b/src/agateshelf/core/claims/models.py
@@ -264,6 +264,8 @@
         asked: Store requests under way, by number.
         suspected: Owners that did not answer, and until when.
         lease: The latest lease for segments.
+        beat_due: Time at which the next beat is due, in seconds.
+        distrust_until: Until when requests may be older than they seem.
     """
 
     incarnation: bytes
@@ -275,6 +277,8 @@
     asked: dict[int, Asked] = dataclasses.field(default_factory=dict)
     suspected: dict[str, float] = dataclasses.field(default_factory=dict)
     lease: Lease | None = None
+    beat_due: float | None = None
+    distrust_until: float = 0.0
 
 
 def create_state(entry: str, incarnation: bytes) -> ClaimsState:
--- a/src/agateshelf/core/claims/owners.py
+++ b/src/agateshelf/core/claims/owners.py
@@ -3,6 +3,7 @@
 from collections import abc
 import hashlib
 
+from agateshelf.core import events
 from agateshelf.core import state as core_state
 
 _WEIGHT_BYTES = 8
@@ -15,6 +16,11 @@
     )
 
 
+def adopt_entries(state: core_state.State, event: events.EntriesSeen) -> None:
+    """Follow the belief of which entries are live."""
+    state.claims.entries = tuple(entry.id for entry in event.entries)
+
+
 def current_owner(state: core_state.State, now: float, shard: int) -> str:
     """Return the owner of a shard among the entries not suspected now."""
     own = state.identity.entry
--- /dev/null
+++ b/src/agateshelf/core/claims/pauses.py
@@ -0,0 +1,46 @@
+"""Notice that this process was stopped for a while.
+
+A request may have waited in a socket all that time, longer than claims are
+remembered, while its caller sent it again elsewhere.
+"""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core import timers
+from agateshelf.core.claims import const
+
+
+def start(state: core_state.State, now: float) -> None:
+    """Begin to look for pauses, once."""
+    if state.claims.beat_due is None:
+        _schedule(state, now)
+
+
+def on_beat(state: core_state.State, now: float) -> list[effects.Effect]:
+    """Look whether this beat is late, and set the next one."""
+    done: list[effects.Effect] = []
+    if _notice(state, now):
+        done.append(effects.Count("claims.pauses_noticed"))
+    _schedule(state, now)
+    return done
+
+
+def was_paused(state: core_state.State, now: float) -> bool:
+    """Return whether what is read now may have waited through a pause."""
+    _notice(state, now)
+    return now < state.claims.distrust_until
+
+
+def _notice(state: core_state.State, now: float) -> bool:
+    due = state.claims.beat_due
+    if due is None or now - due <= const.PAUSE_LIMIT_SECONDS:
+        return False
+    state.claims.distrust_until = now + const.DISTRUST_SECONDS
+    return True
+
+
+def _schedule(state: core_state.State, now: float) -> None:
+    due = now + const.BEAT_SECONDS
+    state.claims.beat_due = due
+    timers.schedule(state.timers, due, events.ClaimsBeat())
--- a/src/agateshelf/core/claims/refusals.py
+++ b/src/agateshelf/core/claims/refusals.py
@@ -85,6 +85,20 @@
     )
 
 
+def entry_paused() -> outcome_models.Refusal:
+    """Return the word on a request that may have waited through a pause."""
+    return outcome_models.Refusal(
+        status=_STATUS_UNAVAILABLE,
+        outcome=outcome_models.Outcome.UNKNOWN,
+        reason=const.REASON_ENTRY_PAUSED,
+        detail=(
+            "This entry was stopped for a while. This copy was not run; an "
+            "earlier one with its key may have been."
+        ),
+        retry_after=const.IN_FLIGHT_RETRY_AFTER_SECONDS,
+    )
+
+
 def claim_late() -> outcome_models.Refusal:
     """Return the word on a claim that was held too long to be relied on."""
     return outcome_models.Refusal(
--- a/src/agateshelf/core/claims/requests.py
+++ b/src/agateshelf/core/claims/requests.py
@@ -10,6 +10,7 @@
 from agateshelf.core.claims import messages
 from agateshelf.core.claims import models
 from agateshelf.core.claims import owners
+from agateshelf.core.claims import pauses
 from agateshelf.core.claims import refusals
 from agateshelf.core.claims import shards
 from agateshelf.core.configuration import models as configuration_models
@@ -30,6 +31,10 @@
     if not is_needed(call):
         state.inbox.append(events.CallCleared(call.number))
         return []
+    if pauses.was_paused(state, now):
+        refusal = refusals.entry_paused()
+        state.inbox.append(events.CallRejected(call.number, refusal))
+        return [effects.Count("claims.distrusted")]
     record = models.Record(
         digest=log.digest_of(
             call.service.name, call.caller, call.idempotency_key or ""
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -211,6 +211,11 @@
     shard: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimsBeat:
+    """Time to look whether this process was stopped for a while (timer)."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreAnswered:
     """The platform's store answered a request, or did not.
@@ -292,6 +297,7 @@
     | ClaimsSettled
     | ClaimOverdue
     | ClaimsDue
+    | ClaimsBeat
     | StoreAnswered
     | PeerSpoke
     | EntriesSeen
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -12,6 +12,8 @@
 from agateshelf.core.calls import lifecycle
 from agateshelf.core.claims import handling as claim_handling
 from agateshelf.core.claims import messages as claim_messages
+from agateshelf.core.claims import owners as claim_owners
+from agateshelf.core.claims import pauses as claim_pauses
 from agateshelf.core.claims import shards as claim_shards
 from agateshelf.core.routing import choice
 
@@ -52,6 +54,7 @@
         case events.DeadlinePassed():
             return lifecycle.on_deadline(state, event)
         case events.ConfigurationRead():
+            claim_pauses.start(state, now)
             return _adopt(state, event)
         case events.StopRequested():
             return _begin_stop(state)
@@ -63,7 +66,9 @@
             return lifecycle.on_cleared(state, now, event)
         case events.CallRejected():
             return lifecycle.on_rejected(state, event)
-        case events.EntriesSeen() | events.TargetListed():
+        case events.EntriesSeen():
+            return _on_entries(state, event)
+        case events.TargetListed():
             return []
         case events.CallReplayed():
             return lifecycle.on_replayed(state, event)
@@ -74,6 +79,7 @@
             | events.ClaimEnded()
             | events.ClaimOverdue()
             | events.ClaimsDue()
+            | events.ClaimsBeat()
         ):
             return claim_handling.on_event(state, now, event)
         case events.StoreAnswered():
@@ -82,6 +88,13 @@
             return _on_peer_message(state, now, event)
 
 
+def _on_entries(
+    state: core_state.State, event: events.EntriesSeen
+) -> list[effects.Effect]:
+    claim_owners.adopt_entries(state, event)
+    return []
+
+
 def _on_store_answer(
     state: core_state.State, now: float, event: events.StoreAnswered
 ) -> list[effects.Effect]:
--- /dev/null
+++ b/tests/core/claims/machine.py
@@ -0,0 +1,94 @@
+"""A state machine of callers, entries and faults, held against the ledger."""
+
+from hypothesis import strategies as st
+import hypothesis.stateful
+
+from bench import bookings_world
+
+ENTRIES = 3
+LIFETIME_SECONDS = 60.0
+# A careful caller sends a key again only well within its lifetime.
+RESEND_WITHIN_SECONDS = 40.0
+
+CLEAN = bookings_world.Judgement(0, 0, 0, 0)
+
+
+class BookingMachine(hypothesis.stateful.RuleBasedStateMachine):
+    """Bookings, repeats and faults in any order."""
+
+    @hypothesis.stateful.initialize(seed=st.integers(0, 2**32 - 1))
+    def begin(self, seed):
+        service = bookings_world.create_service(claim_lifetime=LIFETIME_SECONDS)
+        self.world = bookings_world.World(ENTRIES, seed, service=service)
+        self.sent = []
+
+    def entry(self, index):
+        live = self.world.live()
+        return live[index % len(live)]
+
+    @hypothesis.stateful.rule(
+        index=st.integers(0, ENTRIES - 1),
+        count=st.sampled_from([1, 2, 30]),
+    )
+    def book(self, index, count):
+        for _ in range(count):
+            key = f"k{len(self.sent)}"
+            booking = self.world.book(key, self.entry(index))
+            self.sent.append((booking, self.world.now))
+
+    @hypothesis.stateful.rule(
+        index=st.integers(0, ENTRIES - 1), back=st.integers(1, 40)
+    )
+    def send_again(self, index, back):
+        if not self.sent:
+            return
+        booking, began = self.sent[-min(back, len(self.sent))]
+        if self.world.now - began <= RESEND_WITHIN_SECONDS:
+            self.world.send(booking, self.entry(index))
+
+    @hypothesis.stateful.rule(
+        seconds=st.sampled_from(
+            [0.002, 0.005, 0.03, 0.3, 1.0, 5.0, 30.0, 200.0]
+        )
+    )
+    def let_time_pass(self, seconds):
+        self.world.run(self.world.now + seconds)
+
+    @hypothesis.stateful.rule(away=st.booleans())
+    def take_store_away(self, away):
+        self.world.store_away = away
+
+    @hypothesis.stateful.rule(
+        count=st.integers(1, 4), late=st.sampled_from([0.0, 1.0])
+    )
+    def lose_store_answers(self, count, late):
+        self.world.lose_answers = count
+        self.world.faults.late_store_writes = late
+
+    @hypothesis.stateful.rule(share=st.sampled_from([0.0, 0.3, 1.0]))
+    def lose_peer_messages(self, share):
+        self.world.faults.lost_peer_messages = share
+
+    @hypothesis.stateful.rule(share=st.sampled_from([0.0, 0.5]))
+    def cut_answers(self, share):
+        self.world.faults.cut_answers = share
+
+    @hypothesis.stateful.rule(share=st.sampled_from([0.0, 0.5]))
+    def refuse_at_targets(self, share):
+        self.world.faults.refused = share
+
+    @hypothesis.stateful.rule(
+        index=st.integers(0, ENTRIES - 1),
+        seconds=st.sampled_from([0.1, 1.0, 8.0, 30.0, 200.0]),
+    )
+    def pause(self, index, seconds):
+        self.world.pause(self.entry(index), seconds)
+
+    @hypothesis.stateful.rule(index=st.integers(0, ENTRIES - 1))
+    def replace(self, index):
+        self.world.replace(self.entry(index))
+
+    @hypothesis.stateful.invariant()
+    def every_word_is_true(self):
+        if hasattr(self, "world"):
+            assert bookings_world.judge(self.world) == CLEAN
--- /dev/null
+++ b/tests/core/claims/test_claims.py
@@ -0,0 +1,213 @@
+"""Tests of claims on reducers in virtual time, against the targets' ledger."""
+
+import pytest
+
+from agateshelf.core.configuration import models
+from bench import bookings_world
+
+CLEAN = bookings_world.Judgement(0, 0, 0, 0)
+
+
+def words(booking):
+    return [copy.word for copy in booking.copies]
+
+
+def two_entries(world):
+    first, second = world.entries.values()
+    return first, second
+
+
+def test_a_booking_runs_once_and_its_repeat_gets_the_recorded_answer():
+    world = bookings_world.World(1, seed=1)
+    booking = world.book("k")
+    world.run(1.0)
+    world.send(booking)
+    world.run(2.0)
+    assert words(booking) == ["ok", "ok"]
+    assert len(world.ledger) == 1
+
+
+def test_the_repeat_is_told_the_same_at_an_entry_that_replaced_the_first():
+    world = bookings_world.World(2, seed=1)
+    first, second = two_entries(world)
+    booking = world.book("k", first)
+    world.run(1.0)
+    world.replace(first)
+    world.run(5.0)
+    world.send(booking, second)
+    world.send(booking, world.entries["e2"])
+    world.run(10.0)
+    assert words(booking) == ["ok", "ok", "ok"]
+    assert len(world.ledger) == 1
+
+
+def test_both_copies_in_flight_at_two_entries_run_once():
+    for seed in range(20):
+        world = bookings_world.World(2, seed=seed)
+        first, second = two_entries(world)
+        booking = world.book("k", first)
+        world.send(booking, second)
+        world.run(1.0)
+        assert sorted(words(booking)) == ["ok", "unknown"]
+        assert len(world.ledger) == 1
+
+
+def test_the_same_key_with_another_request_is_refused():
+    world = bookings_world.World(1, seed=1)
+    (entry,) = world.entries.values()
+    world.book("k")
+    world.run(1.0)
+    copy = bookings_world.Copy(99, bookings_world.Booking("k"), world.now)
+    entry.copies[99] = copy
+    entry.post(
+        bookings_world.events.RequestArrived(
+            99, "dealer", "POST", "/bookings/2", "k"
+        )
+    )
+    world.run(2.0)
+    assert (copy.word, copy.reason) == ("not-run-final", "key-reused")
+
+
+def test_keys_of_two_callers_do_not_meet():
+    world = bookings_world.World(1, seed=1)
+    (entry,) = world.entries.values()
+    world.book("k")
+    copy = bookings_world.Copy(99, bookings_world.Booking("k"), world.now)
+    entry.copies[99] = copy
+    entry.post(
+        bookings_world.events.RequestArrived(
+            99, "other", "POST", "/bookings/1", "k"
+        )
+    )
+    world.run(1.0)
+    assert copy.word == "ok"
+    assert len(world.ledger) == 2
+
+
+def test_a_lost_store_answer_is_read_back_before_anything_runs():
+    world = bookings_world.World(1, seed=1)
+    world.lose_answers = 1
+    booking = world.book("k")
+    world.run(1.0)
+    assert words(booking) == ["ok"]
+    assert len(world.ledger) == 1
+    assert world.counts["claims.store_failures"] == 1
+
+
+def test_a_claim_refused_by_targets_is_released():
+    world = bookings_world.World(
+        1, seed=1, faults=bookings_world.Faults(refused=1.0)
+    )
+    booking = world.book("k")
+    world.run(1.0)
+    world.faults.refused = 0.0
+    world.send(booking)
+    world.run(2.0)
+    assert words(booking)[1] == "ok"
+    assert bookings_world.judge(world) == CLEAN
+
+
+def test_a_cut_answer_stays_unknown_and_never_runs_again():
+    world = bookings_world.World(
+        1, seed=1, faults=bookings_world.Faults(cut_answers=1.0)
+    )
+    booking = world.book("k")
+    world.run(1.0)
+    world.faults.cut_answers = 0.0
+    world.send(booking)
+    world.run(2.0)
+    assert words(booking) == ["unknown", "unknown-final"]
+    assert len(world.ledger) == 1
+
+
+def test_store_outage_refuses_at_once_and_never_says_not_run():
+    world = bookings_world.World(2, seed=1)
+    world.store_away = True
+    first = world.book("k")
+    world.run(3.0)
+    second = world.book("l")
+    world.run(5.0)
+    assert words(first) == ["unknown"]
+    assert words(second) == ["unknown"]
+    copy = second.copies[0]
+    assert copy.reason == "claims-unavailable"
+    assert copy.told - copy.sent < 1.6
+    assert not world.ledger
+
+
+def test_store_outage_with_run_unclaimed_runs():
+    service = bookings_world.create_service(
+        store_away=models.StoreAwayPolicy.RUN_UNCLAIMED
+    )
+    world = bookings_world.World(1, seed=1, service=service)
+    world.store_away = True
+    booking = world.book("k")
+    world.run(3.0)
+    assert words(booking) == ["ok"]
+
+
+def test_bookings_go_on_after_an_outage():
+    world = bookings_world.World(2, seed=1)
+    world.store_away = True
+    booking = world.book("k")
+    world.run(3.0)
+    world.store_away = False
+    world.run(5.0)
+    world.send(booking)
+    world.run(7.0)
+    assert words(booking) == ["unknown", "ok"]
+
+
+@pytest.mark.parametrize("pause", [1.0, 5.0, 200.0])
+def test_an_owner_that_wakes_from_a_pause_doubles_nothing(pause):
+    for seed in range(5):
+        world = bookings_world.World(2, seed=seed)
+        first, second = two_entries(world)
+        bookings = [world.book(f"k{n}", first) for n in range(20)]
+        world.run(0.004)
+        world.pause(first, pause)
+        for booking in bookings:
+            world.send(booking, second)
+        world.run(pause + 10.0)
+        for booking in bookings:
+            world.send(booking)
+        world.run(pause + 20.0)
+        assert bookings_world.judge(world) == CLEAN
+
+
+def test_a_dead_owner_holds_nobody_up():
+    world = bookings_world.World(3, seed=1)
+    world.run(0.1)
+    dead = world.entries["e0"]
+    dead.alive = False
+    bookings = [
+        world.book(f"k{n}", world.entries[f"e{1 + n % 2}"]) for n in range(40)
+    ]
+    world.run(3.0)
+    assert {word for b in bookings for word in words(b)} == {"ok"}
+    assert max(world.claim_seconds) < 1.0
+
+
+def test_a_claim_outlives_its_segments_in_no_order():
+    world = bookings_world.World(2, seed=3)
+    bookings = []
+    for n in range(2000):
+        world.at(n * 0.01, lambda n=n: bookings.append(world.book(f"k{n}")))
+    world.run(25.0)
+    world.replace(world.entries["e0"])
+    world.replace(world.entries["e1"])
+    world.run(30.0)
+    for booking in bookings:
+        world.send(booking)
+    world.run(60.0)
+    assert len(world.ledger) == 2000
+    assert {b.copies[1].word for b in bookings} == {"ok"}
+
+
+def test_claims_are_forgotten_after_their_lifetime():
+    world = bookings_world.World(1, seed=1)
+    booking = world.book("k")
+    world.run(200.0)
+    world.send(booking)
+    world.run(201.0)
+    assert len(world.ledger) == 2
