Give whole answers: framing, limits, departures and a memory budget

The thin path trusted h11 for requests that two hops could read in two ways, waited for a caller that had left, held any number of bytes, and took an answer without framing for whole.

Heads are now read into a buffer of our own and checked raw before h11 sees them (bare LF or CR, folded lines, repeated or listed lengths, two framings, non-path targets, bad Host): 400 and close. One task watches all connections for deadlines (408, idle) and departures (EPOLLRDHUP); a timer per read and a reader task per waiting caller were ruled out as a cost to every call. Held bytes are counted: a request that does not fit is refused not-run before it is taken, an answer that does not fit streams. A stream that breaks off resets the caller's connection. An answer without framing counts as a bad answer, since a break could not be told from its end.

--- /dev/null
+++ b/src/agateshelf/daemon/callers/arrivals.py
@@ -0,0 +1,53 @@
+"""The event that tells the reducer of a caller's request."""
+
+import hashlib
+
+from agateshelf import const
+from agateshelf.core import events
+from agateshelf.daemon import messages
+
+_CALLER = const.HEADER_CALLER.encode()
+_KEY = const.HEADER_IDEMPOTENCY_KEY.encode()
+_NO_RETRY = const.HEADER_NO_RETRY.encode()
+_TIMEOUT_MS = const.HEADER_TIMEOUT_MS.encode()
+_EMPTY_DIGEST = hashlib.sha256(b"").digest()
+_TIMEOUT_DIGITS = 9
+
+
+def event_of(call: int, request: messages.Request) -> events.RequestArrived:
+    """Return the event of a request that was read whole."""
+    caller = b""
+    key: bytes | None = None
+    no_retry = False
+    timeout: float | None = None
+    for name, value in request.headers:
+        if name == _CALLER:
+            caller = value
+        elif name == _KEY:
+            key = value
+        elif name == _NO_RETRY:
+            no_retry = True
+        elif name == _TIMEOUT_MS:
+            timeout = _timeout_of(value)
+    return events.RequestArrived(
+        call=call,
+        caller=caller.decode("latin-1"),
+        method=request.method.decode("ascii"),
+        path=request.path.decode("latin-1"),
+        idempotency_key=key.decode("latin-1") if key else None,
+        timeout=timeout,
+        no_retry=no_retry,
+        body_digest=_digest(request.body),
+    )
+
+
+def _digest(body: bytes) -> bytes:
+    if not body:
+        return _EMPTY_DIGEST
+    return hashlib.sha256(body).digest()
+
+
+def _timeout_of(value: bytes) -> float | None:
+    if not value.isdigit() or len(value) > _TIMEOUT_DIGITS:
+        return None
+    return int(value) / 1000.0
--- a/src/agateshelf/daemon/callers/exchanges.py
+++ b/src/agateshelf/daemon/callers/exchanges.py
@@ -6,6 +6,7 @@
 
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.daemon import messages
+from agateshelf.daemon.callers import obligations
 from agateshelf.daemon.targets import answers
 
 
@@ -15,7 +16,7 @@
 
     Attributes:
         request: The request.
-        word: The answer or the refusal.
+        word: The answer or the refusal; None if the caller left.
         decided: Set once the final word is known.
     """
 
@@ -26,35 +27,58 @@
 
 @dataclasses.dataclass(slots=True)
 class Exchanges:
-    """All open exchanges by call number."""
+    """All open exchanges by call number.
+
+    Attributes:
+        open: Exchanges without their final word.
+        last_call: Number of the latest call.
+        owed: What is owed to callers: a word decided and not yet
+            written counts too.
+    """
 
     open: dict[int, Exchange] = dataclasses.field(default_factory=dict)
     last_call: int = 0
+    owed: obligations.Obligations = dataclasses.field(
+        default_factory=obligations.Obligations
+    )
 
     def begin(self, request: messages.Request) -> tuple[int, Exchange]:
         """Register a request; return its call number and exchange."""
         self.last_call += 1
         exchange = Exchange(request)
         self.open[self.last_call] = exchange
+        self.owed.open()
         return self.last_call, exchange
 
+    async def end(self) -> None:
+        """Settle an exchange: its word is written or nobody waits for it."""
+        await self.owed.discharge()
+
     def request_of(self, call: int) -> messages.Request | None:
         """Return the request of a call that is still open."""
         exchange = self.open.get(call)
         return exchange.request if exchange else None
 
-    async def deliver(self, call: int, answer: answers.Answer | None) -> None:
-        """Hand the answer to the caller's task."""
-        exchange = self.open.pop(call, None)
-        if exchange is None or answer is None:
-            return
-        exchange.word = answer
-        await exchange.decided.set()
+    async def deliver(self, call: int, answer: answers.Answer) -> bool:
+        """Hand the answer to the caller's task; return whether it waited."""
+        return await self._decide(call, answer)
 
     async def refuse(self, call: int, refusal: outcome_models.Refusal) -> None:
         """Hand a refusal to the caller's task."""
+        await self._decide(call, refusal)
+
+    async def abandon(self, call: int) -> None:
+        """Let the task of a caller that left go on without a word."""
+        await self._decide(call, None)
+
+    async def _decide(
+        self,
+        call: int,
+        word: answers.Answer | outcome_models.Refusal | None,
+    ) -> bool:
         exchange = self.open.pop(call, None)
         if exchange is None:
-            return
-        exchange.word = refusal
+            return False
+        exchange.word = word
         await exchange.decided.set()
+        return True
--- a/src/agateshelf/daemon/callers/problems.py
+++ b/src/agateshelf/daemon/callers/problems.py
@@ -60,13 +60,20 @@
     return Reply(refusal.status, reason, tuple(headers), body)
 
 
-def malformed(status: int, reason: str, detail: str) -> Reply:
-    """Return the answer to a request that could not be read."""
+def untaken(
+    status: int, reason: str, detail: str, retry_after: float | None = None
+) -> Reply:
+    """Return the answer to a request that was never taken."""
     refusal = outcome_models.Refusal(
         status=status,
         outcome=outcome_models.Outcome.NOT_RUN,
         reason=reason,
         detail=detail,
-        retry_after=None,
+        retry_after=retry_after,
     )
     return reply_of(refusal)
+
+
+def malformed(status: int, reason: str, detail: str) -> Reply:
+    """Return the answer to a request that could not be read."""
+    return untaken(status, reason, detail)
--- a/src/agateshelf/daemon/callers/server.py
+++ b/src/agateshelf/daemon/callers/server.py
@@ -1,26 +1,31 @@
 """The server that callers talk to."""
 
 import dataclasses
-import hashlib
 from typing import Any
 
+import curio
 import h11
-import logbook
 
-from agateshelf import const
 from agateshelf.core import events
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import messages
+from agateshelf.daemon.callers import arrivals
+from agateshelf.daemon.callers import const
+from agateshelf.daemon.callers import memory
 from agateshelf.daemon.callers import problems
 from agateshelf.daemon.callers import reading
+from agateshelf.daemon.callers import watching
 from agateshelf.daemon.callers import writing
 from agateshelf.daemon.targets import answers
 from agateshelf.documents import settings
 
-_log = logbook.Logger("callers")
-
-_STATUS_UNAVAILABLE = 503
+_BROKEN = (
+    OSError,
+    h11.RemoteProtocolError,
+    h11.LocalProtocolError,
+    curio.TaskTimeout,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,128 +35,176 @@
     Attributes:
         driver: Where requests are decided.
         limits: What connections and requests may take.
-        via: Value this hop adds to `Via`.
-        connections: Connections open now.
+        budget: The entry's budget of held bytes.
+        watcher: Watches the connections.
+        refused: Connections being told that there is no room for them.
+        stopping: Whether connections end as soon as nothing is owed on them.
     """
 
     driver: daemon_driver.Driver
     limits: settings.Limits
-    via: bytes
-    connections: int = 0
+    budget: memory.Budget
+    watcher: watching.Watcher
+    refused: int = 0
+    stopping: bool = False
 
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
         """Serve one connection until it ends."""
-        protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
+        if len(self.watcher.connections) >= self.limits.connections:
+            await self._refuse_connection(sock, address)
+            return
+        conn = reading.CallerConnection(
+            sock,
+            reading.create_protocol(),
+            address[0],
+            self.limits,
+            self.budget,
         )
-        conn = reading.CallerConnection(sock, protocol, address[0], self.limits)
-        self.connections += 1
+        self.watcher.add(conn)
+        self.driver.exchanges.owed.open()
         try:
             await self._serve_requests(conn)
-        except (OSError, h11.RemoteProtocolError, h11.LocalProtocolError):
+        except _BROKEN:
             self.driver.metrics.count("callers.broken_connections")
+            writing.reset_on_close(conn)
         finally:
-            self.connections -= 1
+            conn.release()
+            self.watcher.remove(conn)
+            await self.driver.exchanges.owed.discharge()
+
+    async def stop(self) -> None:
+        """End idle connections; the others end with their present request."""
+        self.stopping = True
+        for watched in list(self.watcher.connections.values()):
+            if watched.conn.phase is reading.Phase.IDLE:
+                await watching.cut(watched.conn)
 
     async def _serve_requests(self, conn: reading.CallerConnection) -> None:
-        if self.connections > self.limits.connections:
-            await self._refuse_connection(conn)
-            return
         while True:
+            if self.stopping:
+                conn.enter(reading.Phase.IDLE)
+                await watching.cut(conn)
             try:
                 request = await reading.read_request(conn)
             except reading.BadRequestError as exc:
                 await self._answer_malformed(conn, exc)
                 return
-            if request is None:
+            if request is None or conn.left:
                 return
-            if not await self._serve_request(conn, request):
+            go_on = await self._serve_request(conn, request)
+            conn.release()
+            if not go_on:
+                await writing.linger(conn)
                 return
             conn.protocol.start_next_cycle()
 
-    async def _refuse_connection(self, conn: reading.CallerConnection) -> None:
-        reply = problems.malformed(
-            _STATUS_UNAVAILABLE,
+    async def _refuse_connection(
+        self, sock: Any, address: tuple[str, int]
+    ) -> None:
+        if self.refused >= self.limits.connections:
+            return
+        conn = reading.CallerConnection(
+            sock, reading.create_protocol(), address[0], self.limits
+        )
+        exc = reading.BadRequestError(
+            const.STATUS_UNAVAILABLE,
             "too-many-connections",
             "This entry has no room for another connection.",
+            const.RETRY_AFTER_SECONDS,
         )
-        await writing.write_reply(conn, reply, head_only=False, close=True)
+        self.refused += 1
+        try:
+            await self._answer_malformed(conn, exc)
+        except _BROKEN:
+            self.driver.metrics.count("callers.broken_connections")
+        finally:
+            self.refused -= 1
 
     async def _answer_malformed(
         self, conn: reading.CallerConnection, exc: reading.BadRequestError
     ) -> None:
-        self.driver.metrics.count("callers.malformed")
+        self.driver.metrics.count(f"callers.refused.{exc.reason}")
         if conn.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        reply = problems.malformed(exc.status, exc.reason, exc.detail)
+        conn.enter(reading.Phase.WRITING)
+        reply = problems.untaken(
+            exc.status, exc.reason, exc.detail, exc.retry_after
+        )
         await writing.write_reply(conn, reply, head_only=False, close=True)
+        await writing.linger(conn)
 
     async def _serve_request(
         self, conn: reading.CallerConnection, request: messages.Request
     ) -> bool:
         call, exchange = self.driver.exchanges.begin(request)
-        await self.driver.post(_event_of(call, request))
-        await exchange.decided.wait()
+        try:
+            conn.call = call
+            conn.enter(reading.Phase.WAITING)
+            await self.driver.post(arrivals.event_of(call, request))
+            await exchange.decided.wait()
+            conn.call = None
+            conn.enter(reading.Phase.WRITING)
+            return await self._write(conn, request, exchange.word)
+        finally:
+            conn.call = None
+            await self.driver.exchanges.end()
+
+    async def _write(
+        self,
+        conn: reading.CallerConnection,
+        request: messages.Request,
+        word: answers.Answer | outcome_models.Refusal | None,
+    ) -> bool:
         head_only = request.method == b"HEAD"
-        close = not self.driver.ready
-        match exchange.word:
+        close = not self.driver.ready and not conn.has_more()
+        match word:
             case outcome_models.Refusal() as refusal:
                 reply = problems.reply_of(refusal)
                 await writing.write_reply(
                     conn, reply, head_only=head_only, close=close
                 )
             case answers.Answer(source=None) as answer:
-                await writing.write_answer(
-                    conn, answer, self.via, head_only=head_only, close=close
-                )
+                try:
+                    await writing.write_answer(
+                        conn, answer, head_only=head_only, close=close
+                    )
+                finally:
+                    self.budget.release(answer.held)
             case answers.Answer() as answer:
-                await self._stream(conn, answer)
+                await self._stream(conn, answer, close=close)
             case None:
                 return False
         return conn.protocol.our_state is h11.DONE
 
     async def _stream(
-        self, conn: reading.CallerConnection, answer: answers.Answer
+        self,
+        conn: reading.CallerConnection,
+        answer: answers.Answer,
+        *,
+        close: bool,
     ) -> None:
-        source = answer.source
         whole = False
         try:
-            await writing.write_stream(conn, answer, self.via)
+            await writing.write_stream(conn, answer, close=close)
             whole = True
         finally:
-            if source is not None:
-                await self.driver.targets.finish_stream(source, whole=whole)
+            await self.driver.targets.finish_stream(answer, whole=whole)
             await self.driver.post(
                 events.StreamEnded(answer.attempt, whole=whole)
             )
 
 
 def create_server(
-    driver: daemon_driver.Driver, cfg: settings.Settings
+    driver: daemon_driver.Driver,
+    cfg: settings.Settings,
+    held: memory.Budget,
 ) -> CallerServer:
     """Create the server towards callers."""
-    return CallerServer(driver, cfg.limits, cfg.entry.encode())
-
-
-def _event_of(call: int, request: messages.Request) -> events.RequestArrived:
-    headers = request.headers
-    key = messages.header(headers, const.HEADER_IDEMPOTENCY_KEY.encode())
-    caller = messages.header(headers, const.HEADER_CALLER.encode())
-    no_retry = messages.header(headers, const.HEADER_NO_RETRY.encode())
-    return events.RequestArrived(
-        call=call,
-        caller=(caller or b"").decode("latin-1"),
-        method=request.method.decode("ascii"),
-        path=request.path.decode("latin-1"),
-        idempotency_key=key.decode("latin-1") if key else None,
-        timeout=_timeout_of(headers),
-        no_retry=no_retry is not None,
-        body_digest=hashlib.sha256(request.body).digest(),
-    )
-
-
-def _timeout_of(headers: messages.Headers) -> float | None:
-    value = messages.header(headers, const.HEADER_TIMEOUT_MS.encode())
-    if value is None or not value.isdigit():
-        return None
-    return int(value) / 1000.0
+
+    async def on_left(call: int) -> None:
+        driver.metrics.count("callers.left")
+        await driver.exchanges.abandon(call)
+        await driver.post(events.CallerLeft(call))
+
+    watcher = watching.create_watcher(on_left)
+    return CallerServer(driver, cfg.limits, held, watcher)
--- a/src/agateshelf/daemon/callers/writing.py
+++ b/src/agateshelf/daemon/callers/writing.py
@@ -1,13 +1,21 @@
 """Writing the final word of a call to its caller."""
 
+import contextlib
+import socket
+import struct
+
+import curio
 import h11
 
 from agateshelf.daemon import messages
+from agateshelf.daemon.callers import const
 from agateshelf.daemon.callers import problems
 from agateshelf.daemon.callers import reading
 from agateshelf.daemon.targets import answers
 
 _BODILESS_STATUSES = frozenset({204, 304})
+_PIECE_BYTES = 262144
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 async def write_reply(
@@ -36,7 +44,6 @@
 async def write_answer(
     conn: reading.CallerConnection,
     answer: answers.Answer,
-    via: bytes,
     *,
     head_only: bool,
     close: bool,
@@ -50,7 +57,7 @@
         conn,
         answer.status,
         answer.reason,
-        (*answer.headers, (b"via", b"1.1 " + via)),
+        answer.headers,
         answer.body,
         head_only=head_only,
         close=close,
@@ -68,46 +75,82 @@
     close: bool,
 ) -> None:
     lines = list(headers)
-    if not head_only and status not in _BODILESS_STATUSES:
+    has_body = not head_only and status not in _BODILESS_STATUSES
+    if has_body:
         lines = [pair for pair in lines if pair[0] != b"content-length"]
         lines.append((b"content-length", b"%d" % len(body)))
     if close:
         lines.append((b"connection", b"close"))
     head = h11.Response(status_code=status, headers=lines, reason=reason)
-    parts = [conn.protocol.send(head) or b""]
-    if body and not head_only and status not in _BODILESS_STATUSES:
-        parts.append(conn.protocol.send(h11.Data(data=body)) or b"")
-    parts.append(conn.protocol.send(h11.EndOfMessage()) or b"")
-    await conn.sock.sendall(b"".join(parts))
+    parts = [conn.protocol.send(head)]
+    if body and has_body:
+        parts.append(conn.protocol.send(h11.Data(data=body)))
+    parts.append(conn.protocol.send(h11.EndOfMessage()))
+    await _send(conn, b"".join(parts))
+
+
+async def _send(conn: reading.CallerConnection, data: bytes) -> None:
+    """Send bytes in pieces, each a sign that the caller still reads."""
+    if len(data) <= _PIECE_BYTES:
+        await conn.sock.sendall(data)
+        return
+    view = memoryview(data)
+    for at in range(0, len(data), _PIECE_BYTES):
+        await conn.sock.sendall(view[at : at + _PIECE_BYTES])
+        conn.steps += 1
 
 
 async def write_stream(
-    conn: reading.CallerConnection,
-    answer: answers.Answer,
-    via: bytes,
+    conn: reading.CallerConnection, answer: answers.Answer, *, close: bool
 ) -> None:
     """Pass a streaming answer on until it ends.
 
     Raises:
         h11.RemoteProtocolError: The target broke the answer off.
+        curio.TaskTimeout: The target sent nothing for too long.
         OSError: Either connection is broken.
     """
     source = answer.source
     if source is None:
         raise ValueError("the answer does not stream")
-    headers = [*answer.headers, (b"via", b"1.1 " + via)]
+    headers = list(answer.headers)
+    if close:
+        headers.append((b"connection", b"close"))
     head = h11.Response(
         status_code=answer.status, headers=headers, reason=answer.reason
     )
-    await conn.sock.sendall(conn.protocol.send(head) or b"")
-    await _write_data(conn, answer.body)
+    await _send(conn, conn.protocol.send(head))
+    await _send(conn, conn.protocol.send(h11.Data(data=answer.body)))
     while True:
-        event = await source.next_event()
+        conn.enter(reading.Phase.WAITING)
+        async with curio.timeout_after(conn.limits.idle_seconds):
+            event = await source.next_event()
+        conn.enter(reading.Phase.WRITING)
         if not isinstance(event, h11.Data):
             break
-        await _write_data(conn, bytes(event.data))
-    await conn.sock.sendall(conn.protocol.send(h11.EndOfMessage()) or b"")
+        await _send(conn, conn.protocol.send(h11.Data(data=event.data)))
+    await _send(conn, conn.protocol.send(h11.EndOfMessage()))
 
 
-async def _write_data(conn: reading.CallerConnection, data: bytes) -> None:
-    await conn.sock.sendall(conn.protocol.send(h11.Data(data=data)) or b"")
+def reset_on_close(conn: reading.CallerConnection) -> None:
+    """Have the close reset the connection, so that it can't seem a clean end.
+
+    An answer to an HTTP/1.0 caller may have no other end than the close.
+    """
+    with contextlib.suppress(OSError):
+        conn.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+
+
+async def linger(conn: reading.CallerConnection) -> None:
+    """End a connection from this side, letting the caller read the answer.
+
+    Closing at once with bytes of the caller unread would reset the connection
+    and could take the answer with it.
+    """
+    with contextlib.suppress(OSError):
+        await conn.sock.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(const.LINGER_SECONDS):
+            while await conn.sock.recv(const.READ_BYTES):
+                pass
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -80,8 +80,7 @@
             case effects.CancelAttempt():
                 await self.targets.cancel(effect.attempt)
             case effects.DeliverAnswer():
-                answer = self.targets.take_answer(effect.attempt)
-                await self.exchanges.deliver(effect.call, answer)
+                await self._deliver(effect)
             case effects.Replay():
                 answer = answers.replayed(effect.answer)
                 await self.exchanges.deliver(effect.call, answer)
@@ -99,6 +98,13 @@
             case effects.SendToPeers():
                 self.metrics.count("peers.unsent", len(effect.peers))
 
+    async def _deliver(self, effect: effects.DeliverAnswer) -> None:
+        answer = self.targets.take_answer(effect.attempt)
+        if answer is None:
+            return
+        if not await self.exchanges.deliver(effect.call, answer):
+            await self.targets.drop(answer)
+
     async def run_timers(self) -> None:
         """Post a tick whenever the earliest timer is due; never returns."""
         while True:
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -20,6 +20,7 @@
 from agateshelf.daemon import signals
 from agateshelf.daemon.administration import server as administration
 from agateshelf.daemon.callers import exchanges
+from agateshelf.daemon.callers import memory
 from agateshelf.daemon.callers import server as callers
 from agateshelf.daemon.platform import configuration
 from agateshelf.daemon.platform import store
@@ -51,13 +52,16 @@
         curio.run(run, cfg)
 
 
-def create_driver(cfg: settings.Settings, seed: int) -> daemon_driver.Driver:
+def create_driver(
+    cfg: settings.Settings, seed: int, held: memory.Budget
+) -> daemon_driver.Driver:
     """Create the driver of an entry from its settings."""
     identity = core_state.Identity(cfg.entry, cfg.failure_domain)
     target_client = client.TargetClient(
         connections=pool.Pool(cfg.limits.kept_target_connections),
         held_bytes=cfg.limits.held_answer_bytes,
         via=cfg.entry.encode(),
+        budget=held,
     )
     return daemon_driver.Driver(
         state=core_state.create_state(identity, seed),
@@ -70,8 +74,9 @@
 
 async def run(cfg: settings.Settings) -> None:
     """Run one entry until a stop is asked for and everything is answered."""
-    driver = create_driver(cfg, secrets.randbits(_SEED_BITS))
-    caller_server = callers.create_server(driver, cfg)
+    held = memory.Budget(cfg.limits.held_total_bytes)
+    driver = create_driver(cfg, secrets.randbits(_SEED_BITS), held)
+    caller_server = callers.create_server(driver, cfg, held)
     administration_server = administration.AdministrationServer(
         driver, cfg.limits, cfg.administration.token_sha256
     )
@@ -82,6 +87,7 @@
     stop_signals = signals.create_signals((signal.SIGTERM, signal.SIGINT))
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(driver.run_timers)
+        await group.spawn(caller_server.watcher.run)
         await group.spawn(configuration.follow, driver, cfg.platform.store)
         await administration_listener.start()
         await listener.start()
--- a/src/agateshelf/daemon/messages.py
+++ b/src/agateshelf/daemon/messages.py
@@ -1,5 +1,6 @@
 """HTTP messages as the daemon holds them: bytes names, bytes values."""
 
+from collections import abc
 import dataclasses
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -16,6 +17,7 @@
         body: The whole body.
         peer: Address the request came from.
         http_version: Version the caller spoke.
+        scheme: `http`, or `https` for a caller that came by TLS.
     """
 
     method: bytes
@@ -24,9 +26,12 @@
     body: bytes
     peer: str
     http_version: bytes = b"1.1"
+    scheme: bytes = b"http"
 
 
-def header(headers: Headers, name: bytes) -> bytes | None:
+def header(
+    headers: abc.Iterable[tuple[bytes, bytes]], name: bytes
+) -> bytes | None:
     """Return the first value of a header, or None."""
     for key, value in headers:
         if key == name:
@@ -51,14 +56,13 @@
 
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers without those that concern one connection only."""
+    kept = tuple([pair for pair in headers if pair[0] not in _HOP_BY_HOP])
+    if len(kept) == len(headers):
+        return kept
     named = {
         token.strip().lower()
         for key, value in headers
         if key == b"connection"
         for token in value.split(b",")
     }
-    return tuple(
-        (key, value)
-        for key, value in headers
-        if key not in _HOP_BY_HOP and key not in named
-    )
+    return tuple([pair for pair in kept if pair[0] not in named])
--- a/src/agateshelf/daemon/targets/answers.py
+++ b/src/agateshelf/daemon/targets/answers.py
@@ -16,10 +16,11 @@
     Attributes:
         status: HTTP status.
         reason: Reason phrase.
-        headers: End-to-end headers.
+        headers: End-to-end headers, with this hop's `Via`.
         body: The body, or its first part if the rest streams.
         source: Connection the rest comes from; None if the body is whole.
         attempt: Number of the attempt.
+        held: Bytes of the body counted in the budget.
     """
 
     status: int
@@ -28,6 +29,7 @@
     body: bytes
     source: connection.TargetConnection | None
     attempt: int
+    held: int = 0
 
 
 def replayed(recorded: outcome_models.RecordedAnswer) -> Answer:
--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -1,6 +1,7 @@
 """One connection to a target, spoken through h11."""
 
 import dataclasses
+import socket
 
 import curio
 import h11
@@ -17,12 +18,16 @@
         protocol: The state of HTTP on it.
         address: `HOST:PORT` of the target.
         last_answer: Time the last whole answer arrived; None on a new one.
+        sent_whole: Whether every byte of the present request was sent.
+        head_only: Whether the present request is a HEAD.
     """
 
     sock: curio.io.Socket
     protocol: h11.Connection
     address: str
     last_answer: float | None = None
+    sent_whole: bool = True
+    head_only: bool = False
 
     async def send(self, data: bytes) -> None:
         """Send bytes.
@@ -30,7 +35,9 @@
         Raises:
             OSError: The connection is broken.
         """
+        self.sent_whole = False
         await self.sock.sendall(data)
+        self.sent_whole = True
 
     async def next_event(
         self,
@@ -52,22 +59,41 @@
         """Return whether both sides finished cleanly and may go on."""
         done = h11.DONE
         return (
-            self.protocol.our_state is done
+            self.sent_whole
+            and self.protocol.our_state is done
             and self.protocol.their_state is done
             and not self.protocol.trailing_data[0]
         )
 
+    def quiet(self) -> bool:
+        """Return whether the target sent nothing and did not close."""
+        try:
+            self.sock._socket_recv(1, socket.MSG_PEEK)  # noqa: SLF001
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     async def close(self) -> None:
         """Close the socket, whatever state it is in."""
         await self.sock.close()
 
 
 async def open_connection(address: str) -> TargetConnection:
-    """Open a connection.
+    """Open a connection to an IP number and port.
 
     Raises:
         OSError: The target does not accept it.
     """
     host, _, port = address.rpartition(":")
-    sock = await curio.open_connection(host, int(port))
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await sock.connect((host, int(port)))
+    except BaseException:
+        await sock.close()
+        raise
     return TargetConnection(sock, h11.Connection(h11.CLIENT), address)
--- a/src/agateshelf/daemon/targets/pool.py
+++ b/src/agateshelf/daemon/targets/pool.py
@@ -27,20 +27,27 @@
     async def take(
         self, address: str, *, fresh: bool
     ) -> connection.TargetConnection | None:
-        """Return a kept connection, or None if a new one must be opened."""
-        now = await curio.clock()
-        oldest_allowed = now - (FRESH_SECONDS if fresh else _IDLE_SECONDS)
+        """Return a kept connection, or None if a new one must be opened.
+
+        Args:
+            address: Address of the target.
+            fresh: Whether it must have answered within `FRESH_SECONDS`.
+        """
         kept = self.idle.get(address)
         if not kept:
             return None
-        conn = kept.pop()
-        if conn.last_answer is None or conn.last_answer < oldest_allowed:
-            if fresh:
-                kept.append(conn)
+        now = await curio.clock()
+        oldest_allowed = now - (FRESH_SECONDS if fresh else _IDLE_SECONDS)
+        while kept:
+            last = kept[-1].last_answer
+            recent = last is not None and last >= oldest_allowed
+            if fresh and not recent:
                 return None
+            conn = kept.pop()
+            if recent and conn.quiet():
+                return conn
             await conn.close()
-            return None
-        return conn
+        return None
 
     async def give(self, conn: connection.TargetConnection) -> None:
         """Keep a connection that finished cleanly, or close it."""
@@ -52,7 +59,18 @@
         conn.last_answer = await curio.clock()
         kept.append(conn)
 
-    async def discard(self, address: str) -> None:
-        """Close all idle connections to a target."""
-        for conn in self.idle.pop(address, []):
+    async def discard_elders(self, address: str, since: float) -> None:
+        """Close idle connections that have not answered since a time.
+
+        When one connection has gone silent, those that were quiet for longer
+        may have gone the same way.
+        """
+        kept = self.idle.get(address, [])
+        elders = [
+            conn
+            for conn in kept
+            if conn.last_answer is None or conn.last_answer < since
+        ]
+        for conn in elders:
+            kept.remove(conn)
             await conn.close()
--- /dev/null
+++ b/src/agateshelf/daemon/targets/requests.py
@@ -0,0 +1,63 @@
+"""The bytes of a request as a target gets it."""
+
+import h11
+
+from agateshelf import const
+from agateshelf.core import effects
+from agateshelf.daemon import messages
+from agateshelf.daemon.targets import connection
+
+_TIMEOUT_MS = const.HEADER_TIMEOUT_MS.encode()
+_NO_RETRY = const.HEADER_NO_RETRY.encode()
+_REPLACED = frozenset({b"content-length", b"expect", _TIMEOUT_MS, _NO_RETRY})
+_METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
+
+
+def request_bytes(
+    conn: connection.TargetConnection,
+    effect: effects.StartAttempt,
+    request: messages.Request,
+    via: bytes,
+) -> bytes:
+    """Return the whole request of an attempt.
+
+    Raises:
+        h11.LocalProtocolError: The request can't be said in HTTP/1.1.
+    """
+    head = h11.Request(
+        method=request.method,
+        target=request.path,
+        headers=_headers(effect, request, via),
+    )
+    conn.head_only = request.method == b"HEAD"
+    parts = [conn.protocol.send(head)]
+    if request.body:
+        parts.append(conn.protocol.send(h11.Data(data=request.body)))
+    parts.append(conn.protocol.send(h11.EndOfMessage()))
+    return b"".join(parts)
+
+
+def _headers(
+    effect: effects.StartAttempt, request: messages.Request, via: bytes
+) -> list[tuple[bytes, bytes]]:
+    headers = [pair for pair in request.headers if pair[0] not in _REPLACED]
+    host = messages.header(headers, b"host")
+    if host is None:
+        host = effect.address.encode()
+        headers.append((b"host", host))
+    milliseconds = max(1, int(effect.timeout * 1000))
+    headers.append((_TIMEOUT_MS, b"%d" % milliseconds))
+    if effect.no_retry:
+        headers.append((_NO_RETRY, b"1"))
+    if request.body or request.method in _METHODS_WITH_BODY:
+        headers.append((b"content-length", b"%d" % len(request.body)))
+    headers.append((b"via", b"%b %b" % (request.http_version, via)))
+    headers.append((b"forwarded", _forwarded(request, host)))
+    return headers
+
+
+def _forwarded(request: messages.Request, host: bytes) -> bytes:
+    peer = request.peer.encode()
+    if b":" in peer:
+        peer = b'"[%b]"' % peer
+    return b'for=%b;host="%b";proto=%b' % (peer, host, request.scheme)
--- /dev/null
+++ b/tests/daemon/callers/test_whole_answers.py
@@ -0,0 +1,441 @@
+"""Whole answers: framing, order, limits and departures on the caller side."""
+
+import curio
+import pytest
+from tests.daemon.conftest import plain
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def echo(seen, _sock):
+    return plain(seen.target + b" " + seen.body)
+
+
+def post(body, headers=b""):
+    head = b"POST /b HTTP/1.1\r\nHost: h\r\n" + headers
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def test_hop_by_hop_headers_end_here_and_this_hop_is_named(serve):
+    async def answer(_seen, _sock):
+        return plain(extra=b"Connection: x-b\r\nX-B: 1\r\nX-C: 2\r\n")
+
+    async def test(rig):
+        caller = await rig.caller()
+        got = await caller.ask(
+            b"GET /a HTTP/1.1\r\nHost: shop.example\r\nX-A: 1\r\n"
+            b"Connection: x-a, keep-alive\r\nTE: trailers\r\n\r\n"
+        )
+        (seen,) = rig.target.seen
+        assert seen.header(b"host") == [b"shop.example"]
+        assert seen.header(b"via") == [b"1.1 entry-0"]
+        assert seen.header(b"forwarded") == [
+            b'for=203.0.113.9;host="shop.example";proto=http'
+        ]
+        for name in (b"x-a", b"te", b"connection"):
+            assert seen.header(name) == []
+        assert b"X-B" not in got.head
+        assert b"x-c: 2" in got.head.lower()
+        assert b"via: 1.1 entry-0" in got.head.lower()
+
+    serve(answer, test)
+
+
+def test_chunked_request_arrives_whole_and_the_next_one_is_read(serve):
+    async def test(rig):
+        caller = await rig.caller()
+        await caller.send(
+            b"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n" + GET
+        )
+        first, second = await caller.until(2)
+        assert first.body == b"/b abcde"
+        assert second.body == b"/a "
+        assert rig.target.seen[0].header(b"content-length") == [b"5"]
+
+    serve(echo, test)
+
+
+def test_chunked_answer_is_given_whole_with_its_length(serve):
+    async def answer(_seen, _sock):
+        return (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n0\r\n\r\n"
+        )
+
+    async def test(rig):
+        got = await (await rig.caller()).ask(GET)
+        assert got.body == b"abc"
+        assert b"transfer-encoding" not in got.head.lower()
+
+    serve(answer, test)
+
+
+def test_head_keeps_the_length_and_has_no_body(serve):
+    async def answer(_seen, _sock):
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+
+    async def test(rig):
+        caller = await rig.caller()
+        head = GET.replace(b"GET", b"HEAD")
+        await caller.send(head + head.replace(b"HEAD /a", b"HEAD /z"))
+        while caller.got.count(b"\r\n\r\n") < 2:
+            caller.got += await caller.sock.recv(65536)
+        assert caller.got.lower().count(b"content-length: 5") == 2
+        assert rig.target.connections == 1
+
+    serve(answer, test)
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_answers_without_body_keep_the_connection(serve, status):
+    async def answer(_seen, _sock):
+        return b"HTTP/1.1 %d X\r\n\r\n" % status
+
+    async def test(rig):
+        caller = await rig.caller()
+        for _ in range(2):
+            got = await caller.ask(GET)
+            assert got.status == status
+            caller.got = b""
+        assert rig.target.connections == 1
+
+    serve(answer, test)
+
+
+def test_expectation_is_met_before_the_body_comes(serve):
+    async def test(rig):
+        caller = await rig.caller()
+        request = post(b"hello", b"Expect: 100-continue\r\n")
+        await caller.send(request[:-5])
+        (go_on,) = await caller.until(1)
+        assert go_on.status == 100
+        caller.got = b""
+        got = await caller.ask(b"hello")
+        assert got.body == b"/b hello"
+        assert rig.target.seen[0].header(b"expect") == []
+
+    serve(echo, test)
+
+
+def test_pipelined_requests_are_answered_in_order(serve):
+    async def answer(seen, _sock):
+        await curio.sleep(0.5 if seen.target == b"/0" else 0.0)
+        return plain(seen.target)
+
+    async def test(rig):
+        caller = await rig.caller()
+        paths = [b"/%d" % n for n in range(5)]
+        await caller.send(b"".join(GET.replace(b"/a", p) for p in paths))
+        got = await caller.until(5)
+        assert [answer.body for answer in got] == paths
+
+    serve(answer, test)
+
+
+def test_http_1_0_caller_gets_its_answer_and_the_end(serve):
+    async def answer(_seen, _sock):
+        return (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n0\r\n\r\n"
+        )
+
+    async def test(rig):
+        caller = await rig.caller()
+        await caller.send(b"GET /a HTTP/1.0\r\n\r\n")
+        data = await caller.rest()
+        assert data.endswith(b"\r\n\r\nabc")
+        assert b"chunked" not in data
+        assert rig.target.seen[0].header(b"host") == [
+            rig.target.address.encode()
+        ]
+        assert rig.target.seen[0].header(b"via") == [b"1.0 entry-0"]
+
+    serve(answer, test)
+
+
+def test_informational_answers_are_passed_over(serve):
+    async def answer(_seen, _sock):
+        return b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + plain(b"late")
+
+    async def test(rig):
+        got = await (await rig.caller()).ask(GET)
+        assert (got.status, got.body) == (200, b"late")
+
+    serve(answer, test)
+
+
+def test_answer_without_framing_is_refused_not_passed_as_whole(serve):
+    async def answer(_seen, sock):
+        await sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf an ans")
+
+    async def test(rig):
+        got = await (await rig.caller()).ask(post(b""))
+        assert got.status == 502
+        assert b"agateshelf-outcome: unknown" in got.head.lower()
+
+    serve(answer, test)
+
+
+def test_held_answer_that_breaks_off_is_never_begun(serve):
+    async def answer(_seen, sock):
+        await sock.sendall(plain(b"x" * 5000)[:3000])
+
+    async def test(rig):
+        caller = await rig.caller()
+        got = await caller.ask(post(b""))
+        assert got.status == 502
+        assert b"xxx" not in caller.got
+        assert rig.budget.held == 0
+
+    serve(answer, test)
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_streamed_answer_that_breaks_off_ends_abruptly(serve, chunked):
+    framing = b"Content-Length: 100000\r\n"
+    if chunked:
+        framing = b"Transfer-Encoding: chunked\r\n"
+
+    async def answer(_seen, sock):
+        body = b"x" * 30000
+        if chunked:
+            body = b"7530\r\n" + body + b"\r\n"
+        await sock.sendall(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body)
+
+    async def test(rig):
+        caller = await rig.caller()
+        await caller.send(GET)
+        data = b""
+        try:
+            while piece := await caller.sock.recv(65536):
+                data += piece
+        except ConnectionError:
+            pass
+        assert data.startswith(b"HTTP/1.1 200")
+        assert not data.endswith(b"0\r\n\r\n")
+        assert data.count(b"x") <= 30000
+        assert rig.open == 0
+        assert rig.budget.held == 0
+
+    serve(answer, test, limits={"held_answer_bytes": 4096})
+
+
+def test_streamed_answer_comes_whole_and_its_connection_is_kept(serve):
+    async def answer(_seen, _sock):
+        return plain(b"y" * 500000)
+
+    async def test(rig):
+        caller = await rig.caller()
+        for _ in range(2):
+            got = await caller.ask(GET)
+            assert got.body == b"y" * 500000
+            caller.got = b""
+        assert rig.target.connections == 1
+        assert rig.budget.held == 0
+
+    serve(answer, test, limits={"held_answer_bytes": 4096})
+
+
+def test_stream_that_stands_still_is_cut(serve):
+    async def answer(_seen, sock):
+        await sock.sendall(plain(b"z" * 9000)[:8000])
+        await curio.sleep(3600)
+
+    async def test(rig):
+        caller = await rig.caller()
+        await caller.send(GET)
+        before = await curio.clock()
+        with pytest.raises((EOFError, ConnectionError)):
+            await caller.until(1)
+        assert await curio.clock() - before < 5
+
+    limits = {"held_answer_bytes": 1024, "idle_seconds": 3}
+    serve(answer, test, limits=limits)
+
+
+def test_early_answer_reaches_the_caller_and_ends_the_connection(serve):
+    body = b"b" * (16 << 20)
+
+    async def test(rig):
+        caller = await rig.caller()
+        got = await caller.ask(post(body))
+        assert (got.status, len(got.body)) == (413, 16 << 20)
+        caller.got = b""
+        got = await caller.ask(GET)
+        assert got.status == 200
+
+    async def read_little(self, sock, number):
+        del self, number
+        async with sock:
+            first = await sock.recv(1000)
+            if first.startswith(b"POST"):
+                await sock.sendall(plain(b"n" * (16 << 20), status=413))
+                while await sock.recv(65536):
+                    pass
+                return
+            await sock.sendall(plain())
+
+    async def run(rig):
+        rig.target._serve = read_little.__get__(rig.target)
+        await test(rig)
+
+    serve(echo, run, limits={"request_body_bytes": 32 << 20})
+
+
+def test_departed_caller_cancels_the_attempt_and_pipelined_bytes_stay(serve):
+    async def answer(seen, _sock):
+        await curio.sleep(1.0)
+        return plain(seen.target)
+
+    async def test(rig):
+        caller = await rig.caller()
+        await caller.send(GET + GET.replace(b"/a", b"/second"))
+        got = await caller.until(2)
+        assert [g.body for g in got] == [b"/a", b"/second"]
+        leaving = await rig.caller()
+        await leaving.send(GET)
+        await curio.sleep(0.2)
+        assert rig.driver.state.calls.calls
+        await leaving.sock.close()
+        await curio.sleep(0.2)
+        assert not rig.driver.state.calls.calls
+        assert not rig.driver.targets.tasks
+        assert rig.driver.metrics.counts["callers.left"] == 1
+        assert rig.driver.exchanges.open == {}
+
+    serve(answer, test)
+
+
+def status_and_close(serve, data, limits=None, script=echo):
+    async def test(rig):
+        caller = await rig.caller()
+        await caller.send(data)
+        text = await caller.rest()
+        answers = text.split(b"HTTP/1.1 ")[1:]
+        assert len(answers) == 1, text
+        assert rig.target.seen == []
+        assert b"agateshelf-outcome: not-run" in text.lower()
+        assert b"connection: close" in text.lower()
+        await curio.sleep(2)
+        assert rig.open == 0
+        assert rig.budget.held == 0
+        return int(answers[0][:3])
+
+    return serve(script, test, limits=limits)
+
+
+def test_large_header_is_431(serve):
+    data = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 3000
+    limits = {"header_bytes": 1024}
+    assert status_and_close(serve, data, limits) == 431
+    assert status_and_close(serve, data + b"\r\n\r\n", limits) == 431
+
+
+def test_large_body_is_413(serve):
+    limits = {"request_body_bytes": 1024}
+    assert status_and_close(serve, post(b"x" * 2000), limits) == 413
+    chunked = (
+        b"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"800\r\n" + b"x" * 2048
+    )
+    assert status_and_close(serve, chunked, limits) == 413
+
+
+@pytest.mark.parametrize("data", [GET[:20], post(b"hello")[:-3]])
+def test_slow_request_is_408(serve, data):
+    assert status_and_close(serve, data, {"request_seconds": 2}) == 408
+
+
+def test_idle_connection_ends_without_a_word(serve):
+    async def test(rig):
+        caller = await rig.caller()
+        before = await curio.clock()
+        assert await caller.rest() == b""
+        assert 4 < await curio.clock() - before < 6
+
+    serve(echo, test, limits={"idle_seconds": 5})
+
+
+def test_memory_budget_is_503_before_the_request_is_taken(serve):
+    limits = {"held_total_bytes": 2048}
+    assert status_and_close(serve, post(b"x" * 4000), limits) == 503
+
+
+def test_answer_beyond_the_budget_streams_instead_of_being_refused(serve):
+    async def answer(_seen, _sock):
+        return plain(b"q" * 9000)
+
+    async def test(rig):
+        caller = await rig.caller()
+        got = await caller.ask(GET)
+        assert got.body == b"q" * 9000
+        caller.got = b""
+        assert (await caller.ask(GET)).status == 200
+        await curio.sleep(1)
+        assert rig.budget.held == 0
+
+    serve(answer, test, limits={"held_total_bytes": 2048})
+
+
+def test_connection_beyond_the_limit_is_503(serve):
+    async def test(rig):
+        first = await rig.caller()
+        assert (await first.ask(GET)).status == 200
+        second = await rig.caller()
+        assert b"503" in (await second.rest())[:12]
+        first.got = b""
+        assert (await first.ask(GET)).status == 200
+
+    serve(echo, test, limits={"connections": 1})
+
+
+SMUGGLING = {
+    "conflicting lengths": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    "repeated length": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+    "listed length": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length: 2, 2\r\n\r\nab",
+    "signed length": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length: +2\r\n\r\nab",
+    "length and chunks": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "two codings": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "repeated coding": b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+    b"chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "coding of 1.0": b"POST / HTTP/1.0\r\nHost: h\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "space before colon": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length : 2\r\n\r\nab",
+    "bad chunk size": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0x2\r\nab\r\n0\r\n\r\n",
+    "bad chunk end": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n",
+    "bare LF after last chunk": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\nGET /x HTTP/1.1\r\nHost: h"
+    b"\r\n\r\n",
+    "bare LF": b"GET / HTTP/1.1\nHost: h\n\n",
+    "one bare LF": b"GET / HTTP/1.1\r\nHost: h\nX: y\r\n\r\n",
+    "bare CR": b"GET / HTTP/1.1\r\nHost: h\r\nX: a\rb\r\n\r\n",
+    "folded line": b"GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n",
+    "two hosts": b"GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+    "no host": b"GET / HTTP/1.1\r\n\r\n",
+    "bad host": b"GET / HTTP/1.1\r\nHost: a/b\r\n\r\n",
+    "absolute target": b"GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n",
+    "fragment": b"GET /a#b HTTP/1.1\r\nHost: x\r\n\r\n",
+    "version": b"GET / HTTP/1.2\r\nHost: x\r\n\r\n",
+    "tls hello": b"\x16\x03\x01\x02\x00\x01\x00",
+    "no request line": b"garbage\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", SMUGGLING)
+def test_ambiguous_request_is_400_and_close(serve, name):
+    assert status_and_close(serve, SMUGGLING[name]) == 400
+
+
+def test_unserved_methods_are_501(serve):
+    for method in (b"CONNECT", b"TRACE", b"get"):
+        assert status_and_close(serve, GET.replace(b"GET", method)) == 501
--- /dev/null
+++ b/tests/daemon/conftest.py
@@ -0,0 +1,249 @@
+"""An entry on one loop in virtual time, with a scripted target."""
+
+import dataclasses
+
+import curio
+import curio.network
+import h11
+import pytest
+
+from agateshelf.core import events
+from agateshelf.core.configuration import models
+from agateshelf.daemon import main as daemon_main
+from agateshelf.daemon.callers import memory
+from agateshelf.daemon.callers import server
+from agateshelf.documents import settings
+
+PEER = ("203.0.113.9", 4711)
+
+
+def plain(body=b"ok", *, status=200, extra=b""):
+    """Return the bytes of an answer with a length."""
+    head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n"
+    return head % (status, len(body), extra) + body
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request as the target read it."""
+
+    method: bytes
+    target: bytes
+    headers: list
+    body: bytes
+    connection: int
+
+    def header(self, name):
+        return [value for key, value in self.headers if key == name]
+
+
+class ScriptedTarget:
+    """Reads requests and sends the bytes that a script returns.
+
+    The script gets a `Seen` and the socket; None closes the connection.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.seen = []
+        self.connections = 0
+        self.closed = 0
+        self.address = ""
+
+    async def start(self):
+        sock = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=64)
+        host, port = sock.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        await curio.spawn(self._accept, sock, daemon=True)
+
+    async def _accept(self, sock):
+        while True:
+            conn, _ = await sock.accept()
+            self.connections += 1
+            await curio.spawn(self._serve, conn, self.connections, daemon=True)
+
+    async def _serve(self, sock, number):
+        protocol = h11.Connection(h11.SERVER)
+        async with sock:
+            while True:
+                seen = await self._read(sock, protocol, number)
+                if seen is None:
+                    break
+                self.seen.append(seen)
+                answer = await self.script(seen, sock)
+                if answer is None:
+                    break
+                await sock.sendall(answer)
+                protocol = h11.Connection(h11.SERVER)
+        self.closed += 1
+
+    async def _read(self, sock, protocol, number):
+        head, body = None, b""
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await sock.recv(65536))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return Seen(
+                    bytes(head.method),
+                    bytes(head.target),
+                    list(head.headers),
+                    body,
+                    number,
+                )
+            else:
+                return None
+
+
+class Caller:
+    """A caller's end of a connection."""
+
+    def __init__(self, sock):
+        self.sock = sock
+        self.got = b""
+
+    async def send(self, data):
+        await self.sock.sendall(data)
+
+    async def until(self, count=1):
+        """Read until some whole answers with a length have come."""
+        while True:
+            answers = split_answers(self.got)
+            if len(answers) >= count:
+                return answers
+            data = await self.sock.recv(65536)
+            if not data:
+                raise EOFError(self.got[:200])
+            self.got += data
+
+    async def rest(self):
+        """Read to the end of the connection."""
+        while data := await self.sock.recv(65536):
+            self.got += data
+        return self.got
+
+    async def ask(self, data):
+        await self.send(data)
+        (answer,) = await self.until(1)
+        return answer
+
+
+@dataclasses.dataclass
+class Got:
+    """An answer as the caller read it."""
+
+    status: int
+    head: bytes
+    body: bytes
+
+
+def split_answers(data):
+    """Return the whole answers with a length in some bytes."""
+    found = []
+    while True:
+        end = data.find(b"\r\n\r\n")
+        if end < 0:
+            return found
+        head, rest = data[: end + 2], data[end + 4 :]
+        status = int(head.split()[1])
+        length = 0
+        for line in head.split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            if name.lower() == b"content-length":
+                length = int(value)
+        if status < 200:
+            length = 0
+        if len(rest) < length:
+            return found
+        found.append(Got(status, head, rest[:length]))
+        data = rest[length:]
+
+
+class Rig:
+    """An entry and its target on one loop."""
+
+    def __init__(self, target, driver, caller_server, held):
+        self.target = target
+        self.driver = driver
+        self.server = caller_server
+        self.budget = held
+        self.open = 0
+
+    async def caller(self):
+        """Connect a caller."""
+        near, far = curio.socket.socketpair()
+        await curio.spawn(self._serve, far, daemon=True)
+        return Caller(near)
+
+    async def _serve(self, sock):
+        self.open += 1
+        async with sock:
+            await self.server.serve(sock, PEER)
+        self.open -= 1
+
+
+def service_of(address, **changes):
+    values = {
+        "name": "bookings",
+        "team": "harborline",
+        "prefix": "/",
+        "targets": (models.Target("t0", address, "boston"),),
+        "non_idempotent": frozenset({"POST"}),
+        "priority": models.Priority.URGENT,
+        "timeout": 5.0,
+        "attempt_timeout": 2.0,
+        "refusal_marks": (),
+        "probe_rate": 0.0,
+        "probe_bytes": 0.0,
+        "retry_share": 0.05,
+        "slots": 2,
+        "queue": 64,
+        "callers": (),
+        "store_away": models.StoreAwayPolicy.RUN_UNCLAIMED,
+        "claim_lifetime": 600.0,
+        "poison_crashes": 2,
+    }
+    return models.Service(**{**values, **changes})
+
+
+async def create_rig(script, limits=None, **service):
+    """Start an entry and a scripted target."""
+    target = ScriptedTarget(script)
+    await target.start()
+    cfg = settings.Settings(
+        entry="entry-0",
+        failure_domain="boston",
+        callers=settings.Listen(port=0),
+        administration=settings.Listen(port=0),
+        platform=settings.Platform(
+            store="127.0.0.1:9", instances="127.0.0.1:9"
+        ),
+        limits=settings.Limits(**(limits or {})),
+    )
+    held = memory.Budget(cfg.limits.held_total_bytes)
+    driver = daemon_main.create_driver(cfg, 1, held)
+    caller_server = server.create_server(driver, cfg, held)
+    await curio.spawn(driver.run_timers, daemon=True)
+    await curio.spawn(caller_server.watcher.run, daemon=True)
+    policy = service_of(target.address, **service)
+    configuration = models.Configuration(1, {policy.name: policy})
+    await driver.post(events.ConfigurationRead(configuration))
+    return Rig(target, driver, caller_server, held)
+
+
+@pytest.fixture
+def serve(virtual_run):
+    """Run a test's coroutine against a rig with a script."""
+
+    def run(script, test, limits=None, **service):
+        async def body():
+            rig = await create_rig(script, limits, **service)
+            return await test(rig)
+
+        return virtual_run(body)
+
+    return run
