--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -56,8 +56,8 @@
         case events.ConfigurationRead():
             claim_pauses.start(state, now)
             return _adopt(state, event)
-        case events.StopRequested():
-            return _begin_stop(state)
+        case events.StopRequested() | events.StopDeadlinePassed():
+            return _on_stop(state, event)
         case events.Tick():
             return _run_due_timers(state, now)
         case events.CallAdmitted():
@@ -125,7 +125,12 @@
     return [effects.Count("configuration.adopted")]
 
 
-def _begin_stop(state: core_state.State) -> list[effects.Effect]:
+def _on_stop(
+    state: core_state.State,
+    event: events.StopRequested | events.StopDeadlinePassed,
+) -> list[effects.Effect]:
+    if isinstance(event, events.StopDeadlinePassed):
+        return lifecycle.on_stop_deadline(state)
     state.stopping = True
     return [effects.BecomeUnready(), *lifecycle.exit_if_idle(state)]
 
