--- a/script/demo.py
+++ b/script/demo.py
@@ -1,6 +1,5 @@
 """Run a small whole system after Harborline's until Ctrl-C."""
 
-import json
 import pathlib
 import shutil
 import signal
@@ -81,18 +80,11 @@
     store = running.start_stand_in("store", "--port", "0")
     instances = running.start_stand_in("instances", "--port", "0")
     document = {
-        "version": 1,
         "services": {
             name: service_document(running, name) for name in SERVICES
         },
     }
-    system.request(
-        store.address,
-        "PUT",
-        "/v1/kv/config/head",
-        json.dumps(document).encode(),
-        {"If-Version": "0"},
-    )
+    system.put_configuration(store.address, document)
     platform = {"store": store.address, "instances": instances.address}
     first = entry_settings(0, CALLERS_PORT, ADMIN_PORT, platform)
     second = entry_settings(1, SECOND_CALLERS_PORT, SECOND_ADMIN_PORT, platform)
--- a/src/agateshelf/core/configuration/models.py
+++ b/src/agateshelf/core/configuration/models.py
@@ -131,3 +131,43 @@
         if found is None or len(service.prefix) > len(found.prefix):
             found = service
     return found
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreReadDue:
+    """The store is to be asked for the head again (timer)."""
+
+    serial: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PullDue:
+    """A peer asked for content should have answered by now (timer)."""
+
+    serial: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PatchStepDue:
+    """A patch's unanswered step is to be tried again (timer)."""
+
+    operation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PatchAnswerDue:
+    """An operator has waited long enough for the store (timer)."""
+
+    operation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SurveyDue:
+    """A survey asks its next entries or ends (timer)."""
+
+    operation: int
+
+
+ConfigurationTimer = (
+    StoreReadDue | PullDue | PatchStepDue | PatchAnswerDue | SurveyDue
+)
--- /dev/null
+++ b/src/agateshelf/core/configuration/records.py
@@ -0,0 +1,131 @@
+"""The records that configuration keeps in the store, as bytes.
+
+- `config/head`: which version is the latest, and what it consists of;
+- `config/part/DIGEST`: one service's policy, never changed;
+- `config/history/N-ID`: who asked for a change; the newest sorts first. Those
+  that lost a race stay without harm: each names the patch before it, and only
+  the chain from the head counts.
+"""
+
+import dataclasses
+import urllib.parse
+
+import msgspec
+
+from agateshelf import exceptions
+from agateshelf.core.configuration import const
+from agateshelf.core.configuration import content
+from agateshelf.core.configuration import patch_models
+from agateshelf.core.configuration import results
+
+_NEWEST_FIRST = 10**12
+
+
+class RecordError(exceptions.AgateshelfError):
+    """A value in the store is no such record."""
+
+
+def create_empty_head() -> patch_models.Head:
+    """Create the head of a store that holds no configuration."""
+    return patch_models.Head(0, content.manifest_digest({}), {}, ())
+
+
+def next_head(
+    head: patch_models.Head, new: content.Content, patch_id: str
+) -> patch_models.Head:
+    """Return the head that a patch puts in place of another."""
+    accepted = patch_models.AcceptedPatch(patch_id, new.version)
+    patches = (*head.patches, accepted)[-const.MAX_REMEMBERED_PATCHES :]
+    return patch_models.Head(new.version, new.digest, new.manifest, patches)
+
+
+def encode_head(head: patch_models.Head) -> bytes:
+    """Return the bytes of a head."""
+    return msgspec.json.encode(head)
+
+
+def decode_head(value: bytes) -> patch_models.Head:
+    """Return the head that bytes hold.
+
+    Raises:
+        RecordError: They hold none.
+    """
+    try:
+        return msgspec.json.decode(value, type=patch_models.Head)
+    except msgspec.MsgspecError as exc:
+        raise RecordError(str(exc)) from None
+
+
+def accepted_version(head: patch_models.Head, patch_id: str) -> int | None:
+    """Return the version that a patch made, if the head remembers it."""
+    for patch in head.patches:
+        if patch.patch_id == patch_id:
+            return patch.version
+    return None
+
+
+def latest_patch_id(head: patch_models.Head) -> str:
+    """Return the patch that made the head's version."""
+    return head.patches[-1].patch_id if head.patches else ""
+
+
+def part_key(digest: str) -> str:
+    """Return the key of a part."""
+    return f"{const.KEY_PART_PREFIX}{digest}"
+
+
+def history_key(version: int, patch_id: str) -> str:
+    """Return the key of a history record."""
+    order = _NEWEST_FIRST - version
+    name = urllib.parse.quote(patch_id, safe="")
+    return f"{const.KEY_HISTORY_PREFIX}{order:013d}-{name}"
+
+
+def encode_history(record: results.HistoryRecord) -> bytes:
+    """Return the bytes of a history record."""
+    return msgspec.json.encode(record)
+
+
+def decode_history(value: bytes) -> results.HistoryRecord | None:
+    """Return the history record that bytes hold, or None."""
+    try:
+        return msgspec.json.decode(value, type=results.HistoryRecord)
+    except msgspec.MsgspecError:
+        return None
+
+
+def accepted_history(
+    head: patch_models.Head, records: list[results.HistoryRecord]
+) -> list[results.HistoryRecord]:
+    """Return the records of accepted patches only, the newest first."""
+    by_name = {(r.version, r.patch_id): r for r in records}
+    version = head.version
+    patch_id = latest_patch_id(head)
+    chain = []
+    while (version, patch_id) in by_name:
+        record = by_name[version, patch_id]
+        chain.append(record)
+        version -= 1
+        patch_id = record.previous_patch_id
+    return chain
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """A key with the value to put there."""
+
+    key: str
+    value: bytes
+
+
+def first_records(new: content.Content) -> tuple[StoredRecord, ...]:
+    """Return what an empty store needs to hold a first version.
+
+    For demonstrations and tests; operators submit a patch to version 0.
+    """
+    parts = tuple(
+        StoredRecord(part_key(new.manifest[name]), part.value)
+        for name, part in new.parts.items()
+    )
+    head = next_head(create_empty_head(), new, "first")
+    return (*parts, StoredRecord(const.KEY_HEAD, encode_head(head)))
--- /dev/null
+++ b/src/agateshelf/core/configuration/spreading.py
@@ -0,0 +1,215 @@
+"""Fetching newer content from peers, and passing it on."""
+
+import msgspec
+
+from agateshelf.core import effects
+from agateshelf.core import state as core_state
+from agateshelf.core import timers
+from agateshelf.core.configuration import adoption
+from agateshelf.core.configuration import const
+from agateshelf.core.configuration import content
+from agateshelf.core.configuration import messages
+from agateshelf.core.configuration import models
+from agateshelf.core.configuration import spread_models
+from agateshelf.core.membership import view
+
+
+class _Changes(msgspec.Struct, array_like=True):
+    removed: tuple[str, ...]
+    parts: tuple[content.Part, ...]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_Changes)
+
+
+def announce(state: core_state.State) -> list[effects.Effect]:
+    """Tell a few entries, not known to have it, of the version in force."""
+    heard = state.configuration.heard
+    behind = [
+        entry
+        for entry in view.neighbours(state)
+        if heard.get(entry, 0) < state.cfg.version
+    ]
+    if not behind:
+        return []
+    count = min(const.ANNOUNCE_FANOUT, len(behind))
+    peers = tuple(state.rng.sample(behind, count))
+    return [effects.SendToPeers(peers, messages.Announce(state.cfg.version))]
+
+
+def on_heard(
+    state: core_state.State, now: float, peer: str, version: int
+) -> list[effects.Effect]:
+    """Note a peer's version and fetch it if it is newer."""
+    cfg = state.configuration
+    if peer in cfg.heard or len(cfg.heard) < const.MAX_HEARD:
+        cfg.heard[peer] = version
+    if version <= state.cfg.version:
+        return []
+    return pull_if_behind(state, now)
+
+
+def pull_if_behind(state: core_state.State, now: float) -> list[effects.Effect]:
+    """Ask one of the peers with the highest version, if it is newer."""
+    cfg = state.configuration
+    if cfg.pull is not None:
+        return []
+    wanted = max(cfg.heard.values(), default=0)
+    if wanted <= state.cfg.version or wanted in cfg.checking:
+        return []
+    if cfg.invalid.get(wanted, now) > now:
+        return []
+    peers = sorted(p for p, version in cfg.heard.items() if version == wanted)
+    cfg.pull = spread_models.Pull(0, state.rng.choice(peers))
+    return _ask_chunk(state, now, cfg.pull)
+
+
+def _ask_chunk(
+    state: core_state.State, now: float, pull: spread_models.Pull
+) -> list[effects.Effect]:
+    cfg = state.configuration
+    cfg.serial += 1
+    pull.serial = cfg.serial
+    at = now + const.PULL_TIMEOUT_SECONDS * state.rng.uniform(0.8, 1.2)
+    timers.schedule(state.timers, at, models.PullDue(pull.serial))
+    held = cfg.in_force
+    message = messages.PullContent(
+        number=pull.serial,
+        version=held.version if held else 0,
+        digest=held.digest if held else "",
+        chunk=len(pull.chunks),
+    )
+    return [effects.SendToPeers((pull.peer,), message)]
+
+
+def on_pull_due(
+    state: core_state.State, now: float, event: models.PullDue
+) -> list[effects.Effect]:
+    """Ask another peer when one kept silent."""
+    cfg = state.configuration
+    if cfg.pull is None or cfg.pull.serial != event.serial:
+        return []
+    silent = cfg.pull.peer
+    cfg.pull = None
+    cfg.heard.pop(silent, None)
+    again = pull_if_behind(state, now)
+    return [effects.Count("configuration.pull_unanswered"), *again]
+
+
+def on_pull(
+    state: core_state.State,
+    now: float,
+    peer: str,
+    message: messages.PullContent,
+) -> list[effects.Effect]:
+    """Answer with a chunk of what has changed since the asker's version."""
+    held = state.configuration.in_force
+    if held is None or held.version <= message.version:
+        return []
+    if not _may_serve(state, now):
+        return [effects.Count("configuration.pulls_put_off")]
+    base = state.configuration.manifests.get(message.version)
+    if base is not None and base.digest != message.digest:
+        base = None
+    data = _encode_changes(state, base, held)
+    chunks = max(1, -(-len(data) // const.CHUNK_BYTES))
+    begin = message.chunk * const.CHUNK_BYTES
+    if not 0 <= message.chunk < chunks:
+        return []
+    answer = messages.ContentChunk(
+        number=message.number,
+        version=held.version,
+        digest=held.digest,
+        base_version=base.version if base else 0,
+        chunk=message.chunk,
+        chunks=chunks,
+        data=data[begin : begin + const.CHUNK_BYTES],
+    )
+    return [effects.SendToPeers((peer,), answer)]
+
+
+def _may_serve(state: core_state.State, now: float) -> bool:
+    """Bound what newcomers may cost: others will answer them too."""
+    cfg = state.configuration
+    if now - cfg.serving_since >= 1.0:
+        cfg.serving_since = now
+        cfg.served = 0
+    cfg.served += 1
+    return cfg.served <= const.SERVED_CHUNKS_PER_SECOND
+
+
+def _encode_changes(
+    state: core_state.State,
+    base: content.Content | None,
+    held: content.Content,
+) -> bytes:
+    cfg = state.configuration
+    key = (base.version if base else 0, held.version)
+    if cfg.encoded is not None and cfg.encoded.key == key:
+        return cfg.encoded.data
+    manifest = base.manifest if base else {}
+    changes = _Changes(
+        removed=tuple(name for name in manifest if name not in held.manifest),
+        parts=content.changed_parts(manifest, held),
+    )
+    data = _encoder.encode(changes)
+    cfg.encoded = spread_models.EncodedChanges(key, data)
+    return data
+
+
+def on_chunk(
+    state: core_state.State,
+    now: float,
+    peer: str,
+    message: messages.ContentChunk,
+) -> list[effects.Effect]:
+    """Take a chunk, ask for the next, and put the whole together."""
+    cfg = state.configuration
+    pull = cfg.pull
+    if pull is None or (pull.peer, pull.serial) != (peer, message.number):
+        return []
+    key = (message.version, message.base_version, message.digest)
+    if pull.key is None:
+        pull.key = key
+    if pull.key != key or not _is_next(pull, message):
+        cfg.pull = None
+        return pull_if_behind(state, now)
+    pull.chunks.append(message.data)
+    if len(pull.chunks) < message.chunks:
+        return _ask_chunk(state, now, pull)
+    cfg.pull = None
+    new = _put_together(state, message, b"".join(pull.chunks))
+    if new is None:
+        cfg.heard.pop(peer, None)
+        return [effects.Count("configuration.bad_content")]
+    return adoption.propose(state, new)
+
+
+def _is_next(pull: spread_models.Pull, message: messages.ContentChunk) -> bool:
+    if message.chunks > const.MAX_CHUNKS:
+        return False
+    if len(message.data) > const.CHUNK_BYTES:
+        return False
+    return message.chunk == len(pull.chunks)
+
+
+def _put_together(
+    state: core_state.State, message: messages.ContentChunk, data: bytes
+) -> content.Content | None:
+    """Return the content if it has the digest that was announced."""
+    parts: dict[str, content.Part] = {}
+    held = state.configuration.in_force
+    if message.base_version:
+        if held is None or held.version != message.base_version:
+            return None
+        parts.update(held.parts)
+    try:
+        changes = _decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
+    for name in changes.removed:
+        parts.pop(name, None)
+    parts.update({part.name: part for part in changes.parts})
+    new = content.create_content(message.version, parts.values())
+    return new if new.digest == message.digest else None
--- /dev/null
+++ b/src/agateshelf/core/configuration/surveying.py
@@ -0,0 +1,85 @@
+"""Asks every live entry which version it has in force, a few at a time."""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core import timers
+from agateshelf.core.configuration import const
+from agateshelf.core.configuration import messages
+from agateshelf.core.configuration import models
+from agateshelf.core.configuration import results
+from agateshelf.core.configuration import spread_models
+from agateshelf.core.membership import view
+
+
+def on_requested(
+    state: core_state.State, now: float, event: events.SurveyRequested
+) -> list[effects.Effect]:
+    """Begin a survey."""
+    me = state.identity.entry
+    others = [e for e in view.live_entries(state) if e != me]
+    steps = len(others) / const.SURVEY_ENTRIES_PER_STEP
+    survey = spread_models.Survey(
+        unasked=others,
+        heard={me: state.cfg.version},
+        asked=set(),
+        ends=now + const.SURVEY_SECONDS + steps * const.SURVEY_STEP_SECONDS,
+    )
+    state.configuration.surveys[event.operation] = survey
+    return on_due(state, now, models.SurveyDue(event.operation))
+
+
+def on_due(
+    state: core_state.State, now: float, event: models.SurveyDue
+) -> list[effects.Effect]:
+    """Ask the next entries, or end the survey when its time is over."""
+    survey = state.configuration.surveys.get(event.operation)
+    if survey is None:
+        return []
+    if now >= survey.ends or not survey.unasked:
+        return _end_if_over(state, now, event.operation, survey)
+    peers = tuple(survey.unasked[: const.SURVEY_ENTRIES_PER_STEP])
+    del survey.unasked[: const.SURVEY_ENTRIES_PER_STEP]
+    survey.asked.update(peers)
+    at = now + const.SURVEY_STEP_SECONDS
+    timers.schedule(state.timers, at, event)
+    question = messages.AskVersion(event.operation)
+    return [effects.SendToPeers(peers, question)]
+
+
+def _end_if_over(
+    state: core_state.State,
+    now: float,
+    operation: int,
+    survey: spread_models.Survey,
+) -> list[effects.Effect]:
+    silent = survey.asked.difference(survey.heard)
+    if silent and now < survey.ends:
+        at = now + const.SURVEY_STEP_SECONDS
+        timers.schedule(state.timers, at, models.SurveyDue(operation))
+        return []
+    del state.configuration.surveys[operation]
+    heard = tuple(
+        results.EntryVersion(entry, survey.heard[entry])
+        for entry in sorted(survey.heard)
+    )
+    unheard = tuple(sorted(silent.union(survey.unasked)))
+    return [effects.AnswerSurvey(operation, heard, unheard)]
+
+
+def on_asked(
+    state: core_state.State, peer: str, message: messages.AskVersion
+) -> list[effects.Effect]:
+    """Answer with the version in force."""
+    answer = messages.TellVersion(message.operation, state.cfg.version)
+    return [effects.SendToPeers((peer,), answer)]
+
+
+def on_told(
+    state: core_state.State, peer: str, message: messages.TellVersion
+) -> list[effects.Effect]:
+    """Note an entry's answer."""
+    survey = state.configuration.surveys.get(message.operation)
+    if survey is not None and peer in survey.asked:
+        survey.heard[peer] = message.version
+    return []
--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 from agateshelf.core import storage
+from agateshelf.core.configuration import content
+from agateshelf.core.configuration import results
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
 
@@ -69,6 +71,13 @@
     amount: int = 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Warn:
+    """Tell the operators something by the log."""
+
+    sentence: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BecomeUnready:
     """Answer readiness checks with "not ready" and take no new connection."""
@@ -107,6 +116,72 @@
     message: peer_models.PeerMessage
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnowPeer:
+    """Note where another entry is reached, for messages to come."""
+
+    peer: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForgetPeer:
+    """Close what is open towards an entry; its address stays known."""
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListInstances:
+    """Read the platform's list of instances; one event follows."""
+
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckConfiguration:
+    """Check a content; `ConfigurationRead` or `ConfigurationInvalid` follows.
+
+    Attributes:
+        version: Number of its version.
+        parts: The content whole.
+    """
+
+    version: int
+    parts: tuple[content.Part, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerPatch:
+    """Tell an operator what became of a patch."""
+
+    operation: int
+    result: results.PatchResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHistory:
+    """Tell an operator the latest changes; None if the store is away."""
+
+    operation: int
+    records: tuple[results.HistoryRecord, ...] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerSurvey:
+    """Tell an operator which entry has which version in force.
+
+    Attributes:
+        operation: Number of the question.
+        heard: Versions of the entries that answered, by entry.
+        silent: Entries thought to be live that did not answer.
+    """
+
+    operation: int
+    heard: tuple[results.EntryVersion, ...]
+    silent: tuple[str, ...]
+
+
 Effect = (
     StartAttempt
     | CancelAttempt
@@ -114,8 +189,16 @@
     | Replay
     | Refuse
     | Count
+    | Warn
     | BecomeUnready
     | Exit
     | AskStore
     | SendToPeers
+    | KnowPeer
+    | ForgetPeer
+    | ListInstances
+    | CheckConfiguration
+    | AnswerPatch
+    | AnswerHistory
+    | AnswerSurvey
 )
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -8,7 +8,9 @@
 
 from agateshelf.core import storage
 from agateshelf.core.claims import models as claim_models
+from agateshelf.core.configuration import content
 from agateshelf.core.configuration import models as configuration_models
+from agateshelf.core.membership import models as membership_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
 
@@ -122,11 +124,6 @@
     """The process was asked to stop gracefully."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopDeadlinePassed:
-    """The graceful stop has taken too long; give every call its last word."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """The time of the earliest timer has come."""
@@ -270,6 +267,36 @@
     entries: tuple[LiveEntry, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """The entry's process began; membership and configuration set out.
+
+    Attributes:
+        incarnation: Number that grows with each process of this entry.
+        address: `HOST:PORT` at which other entries reach this one, or None
+            if it runs without peers.
+        seeds: Entries to speak to first.
+        has_store: Whether the platform's store may be asked.
+    """
+
+    incarnation: int
+    address: str | None = None
+    seeds: tuple[membership_models.Contact, ...] = ()
+    has_store: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstancesListed:
+    """The platform's list of instances was read; it may be wrong."""
+
+    instances: tuple[membership_models.Instance, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstancesNotListed:
+    """The platform's list of instances could not be read."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetListed:
     """The platform's list came to show a target otherwise (internal).
@@ -283,6 +310,91 @@
     leaving: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerVersionHeard:
+    """Another entry said which configuration it has in force (internal)."""
+
+    peer: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationInvalid:
+    """The border refused a content that the core had it check."""
+
+    version: int
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PatchRequested:
+    """An operator's patch was applied at the border to its base version.
+
+    Attributes:
+        operation: Number that its answer will carry.
+        patch_id: The patch's own identifier; the same one is the same patch.
+        base_version: Version that the patch was written for.
+        parts: The new configuration whole and checked; None if the base
+            version is not in force here, so that it could not be applied.
+        author: Who asks.
+        reason: Why.
+        at: When, in Unix seconds.
+    """
+
+    operation: int
+    patch_id: str
+    base_version: int
+    parts: tuple[content.Part, ...] | None
+    author: str
+    reason: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepublishRequested:
+    """An operator wants what is in force written over a lower head.
+
+    For a store that lost its latest versions; `AnswerPatch` follows.
+    """
+
+    operation: int
+    patch_id: str
+    author: str
+    reason: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PatchLookup:
+    """An operator asks what became of a patch."""
+
+    operation: int
+    patch_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryRequested:
+    """An operator asks for the latest changes, the newest first."""
+
+    operation: int
+    limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SurveyRequested:
+    """An operator asks which version each entry has in force."""
+
+    operation: int
+
+
+Question = (
+    PatchRequested
+    | RepublishRequested
+    | PatchLookup
+    | HistoryRequested
+    | SurveyRequested
+)
+
 Event = (
     RequestArrived
     | CallerLeft
@@ -291,7 +403,6 @@
     | AttemptFailed
     | ConfigurationRead
     | StopRequested
-    | StopDeadlinePassed
     | Tick
     | DeadlinePassed
     | CallAdmitted
@@ -307,5 +418,17 @@
     | StoreAnswered
     | PeerSpoke
     | EntriesSeen
+    | Started
+    | InstancesListed
+    | InstancesNotListed
     | TargetListed
+    | PeerVersionHeard
+    | ConfigurationInvalid
+    | PatchRequested
+    | RepublishRequested
+    | PatchLookup
+    | HistoryRequested
+    | SurveyRequested
+    | membership_models.MembershipTimer
+    | configuration_models.ConfigurationTimer
 )
--- /dev/null
+++ b/src/agateshelf/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entries and targets are live, leaving or gone."""
--- /dev/null
+++ b/src/agateshelf/core/membership/beliefs.py
@@ -0,0 +1,172 @@
+"""Which record of an entry counts, and what follows from a new one."""
+
+from collections import abc
+import dataclasses
+import math
+
+from agateshelf.core import effects
+from agateshelf.core import state as core_state
+from agateshelf.core import timers
+from agateshelf.core.membership import const
+from agateshelf.core.membership import models
+from agateshelf.core.membership import view
+
+
+def learn(
+    state: core_state.State, now: float, records: abc.Iterable[models.Member]
+) -> list[effects.Effect]:
+    """Take records in that were told by other entries."""
+    done: list[effects.Effect] = []
+    for record in records:
+        if record.entry == state.identity.entry:
+            _refute(state, record)
+        else:
+            done.extend(_learn_one(state, now, record))
+    if state.membership.live is None:
+        view.post_live(state)
+    return done
+
+
+def _refute(state: core_state.State, record: models.Member) -> None:
+    """Raise the own incarnation above a record that is not one's own."""
+    me = state.membership.me
+    if me is None:
+        return
+    if (record.incarnation, record.status) <= (me.incarnation, me.status):
+        return
+    raise_own(state, record.incarnation + 1, me.status)
+
+
+def raise_own(
+    state: core_state.State, incarnation: int, status: models.Status
+) -> None:
+    """Replace the own record and have it passed on."""
+    me = state.membership.me
+    if me is None:
+        return
+    state.membership.me = dataclasses.replace(
+        me, incarnation=incarnation, status=status
+    )
+    pass_on(state, me.entry)
+
+
+def _learn_one(
+    state: core_state.State, now: float, record: models.Member
+) -> list[effects.Effect]:
+    membership = state.membership
+    known = membership.members.get(record.entry)
+    if known is not None and not _is_newer(record, known):
+        return []
+    if known is None and len(membership.members) >= const.MAX_MEMBERS:
+        return [effects.Count("membership.too_many")]
+    membership.members[record.entry] = record
+    membership.live = None
+    membership.neighbours = None
+    pass_on(state, record.entry)
+    return _consequences(state, now, record, known)
+
+
+def _is_newer(record: models.Member, known: models.Member) -> bool:
+    new = (record.incarnation, record.status)
+    return new > (known.incarnation, known.status)
+
+
+def _consequences(
+    state: core_state.State,
+    now: float,
+    record: models.Member,
+    known: models.Member | None,
+) -> list[effects.Effect]:
+    match record.status:
+        case models.Status.SUSPECT:
+            at = now + suspicion_seconds(state)
+            event = models.SuspicionDue(record.entry, record.incarnation)
+            timers.schedule(state.timers, at, event)
+        case models.Status.GONE:
+            at = now + const.REMEMBER_GONE_SECONDS
+            forget = models.ForgetDue(record.entry, record.incarnation)
+            timers.schedule(state.timers, at, forget)
+            state.configuration.heard.pop(record.entry, None)
+            return [effects.ForgetPeer(record.entry)]
+        case _:
+            pass
+    returned = known is None or known.status is models.Status.GONE
+    if returned or (known is not None and known.address != record.address):
+        return [effects.KnowPeer(record.entry, record.address)]
+    return []
+
+
+def pass_on(state: core_state.State, entry: str) -> None:
+    """Have an entry's record told to others a number of times."""
+    doublings = _doublings(state)
+    repeats = math.ceil(const.UPDATE_REPEATS_PER_DOUBLING * doublings)
+    state.membership.updates[entry] = repeats
+
+
+def suspicion_seconds(state: core_state.State) -> float:
+    """Return how long a suspected entry has to speak up."""
+    slope = const.SUSPICION_SECONDS_PER_DOUBLING
+    return const.SUSPICION_BASE_SECONDS + slope * _doublings(state)
+
+
+def _doublings(state: core_state.State) -> float:
+    return math.log2(len(state.membership.members) + 2)
+
+
+def take_updates(
+    state: core_state.State, receiver: str
+) -> tuple[models.Member, ...]:
+    """Return records to tell a receiver, the least told first.
+
+    A receiver that is not thought to be live is told so, that it may refute.
+    """
+    membership = state.membership
+    chosen: list[models.Member] = []
+    belief = membership.members.get(receiver)
+    if belief is not None and belief.status is not models.Status.LIVE:
+        chosen.append(belief)
+    room = const.UPDATES_PER_MESSAGE - len(chosen)
+    ordered = sorted(
+        membership.updates, key=lambda e: (-membership.updates[e], e)
+    )
+    for entry in ordered[:room]:
+        record = _record_of(state, entry)
+        if record is not None and entry != receiver:
+            chosen.append(record)
+        membership.updates[entry] -= 1
+        if membership.updates[entry] <= 0:
+            del membership.updates[entry]
+    return tuple(chosen)
+
+
+def _record_of(state: core_state.State, entry: str) -> models.Member | None:
+    if entry == state.identity.entry:
+        return state.membership.me
+    return state.membership.members.get(entry)
+
+
+def on_suspicion_due(
+    state: core_state.State, now: float, event: models.SuspicionDue
+) -> list[effects.Effect]:
+    """Declare an entry gone that did not refute a suspicion."""
+    known = state.membership.members.get(event.entry)
+    if known is None or known.incarnation != event.incarnation:
+        return []
+    if known.status is not models.Status.SUSPECT:
+        return []
+    gone = dataclasses.replace(known, status=models.Status.GONE)
+    done = learn(state, now, (gone,))
+    return [*done, effects.Count("membership.gone")]
+
+
+def on_forget_due(
+    state: core_state.State, event: models.ForgetDue
+) -> list[effects.Effect]:
+    """Forget an entry that has been gone for long."""
+    known = state.membership.members.get(event.entry)
+    if known is None or known.incarnation != event.incarnation:
+        return []
+    if known.status is models.Status.GONE:
+        del state.membership.members[event.entry]
+        state.membership.updates.pop(event.entry, None)
+    return []
--- /dev/null
+++ b/src/agateshelf/core/membership/handling.py
@@ -0,0 +1,124 @@
+"""The events that membership handles."""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core.membership import beliefs
+from agateshelf.core.membership import const
+from agateshelf.core.membership import listing
+from agateshelf.core.membership import messages
+from agateshelf.core.membership import models
+from agateshelf.core.membership import probing
+from agateshelf.core.membership import roster
+from agateshelf.core.membership import view
+from agateshelf.core.peers import models as peer_models
+
+
+def on_started(
+    state: core_state.State, now: float, event: events.Started
+) -> list[effects.Effect]:
+    """Begin to speak to other entries and to read the platform's list."""
+    membership = state.membership
+    membership.active = True
+    done: list[effects.Effect] = listing.on_due(state)
+    view.post_live(state)
+    if event.address is None:
+        return done
+    membership.has_peers = True
+    membership.live = None
+    membership.me = models.Member(
+        state.identity.entry,
+        event.incarnation,
+        models.Status.LIVE,
+        event.address,
+        state.identity.failure_domain,
+    )
+    beliefs.pass_on(state, state.identity.entry)
+    for seed in event.seeds:
+        membership.contacts[seed.entry] = seed.address
+    probing.schedule_round(state, now)
+    done.extend(_ping_contacts(state, now))
+    return done
+
+
+def _ping_contacts(state: core_state.State, now: float) -> list[effects.Effect]:
+    strays = probing.stray_contacts(state)
+    count = min(const.STRAYS_AT_START, len(strays))
+    done: list[effects.Effect] = []
+    for entry in state.rng.sample(sorted(strays), count):
+        done.append(effects.KnowPeer(entry, strays[entry]))
+        done.extend(probing.ping(state, now, entry))
+    return done
+
+
+def on_listed(
+    state: core_state.State, now: float, event: events.InstancesListed
+) -> list[effects.Effect]:
+    """Take a list in; one who knows nobody speaks to its entries at once."""
+    done = listing.on_listed(state, now, event)
+    if state.membership.has_peers and not state.membership.members:
+        done.extend(_ping_contacts(state, now))
+    return done
+
+
+def on_not_listed(state: core_state.State, now: float) -> list[effects.Effect]:
+    """Go on with the list of before."""
+    listing.schedule(state, now)
+    return [effects.Count("instances.not_listed")]
+
+
+def on_stop(state: core_state.State, now: float) -> list[effects.Effect]:
+    """Tell a few entries that this one is leaving; they pass it on."""
+    me = state.membership.me
+    if me is None:
+        return []
+    beliefs.raise_own(state, me.incarnation + 1, models.Status.LEAVING)
+    neighbours = view.neighbours(state)
+    count = min(const.LEAVING_FANOUT, len(neighbours))
+    done: list[effects.Effect] = []
+    for entry in state.rng.sample(neighbours, count):
+        done.extend(probing.ping(state, now, entry))
+    return done
+
+
+def on_timer(
+    state: core_state.State, now: float, event: models.MembershipTimer
+) -> list[effects.Effect]:
+    """Handle a timer of membership."""
+    match event:
+        case models.RoundDue():
+            return probing.on_round(state, now)
+        case models.AnswerDue():
+            return probing.on_answer_due(state, now, event)
+        case models.SuspicionDue():
+            return beliefs.on_suspicion_due(state, now, event)
+        case models.ForgetDue():
+            return beliefs.on_forget_due(state, event)
+        case models.ListingDue():
+            return listing.on_due(state)
+
+
+def on_message(
+    state: core_state.State,
+    now: float,
+    peer: str,
+    message: peer_models.PeerMessage,
+) -> list[effects.Effect] | None:
+    """Handle a message, or return None if it is not membership's."""
+    match message:
+        case messages.Ping() | messages.Ack() if message.sender.entry != peer:
+            return [effects.Count("membership.false_sender")]
+        case messages.Ping():
+            return probing.on_ping(state, now, peer, message)
+        case messages.Ack():
+            return probing.on_ack(state, now, peer, message)
+        case messages.PingFor():
+            return probing.on_ping_for(state, now, peer, message)
+        case messages.AckFor():
+            return probing.on_ack_for(state, message)
+        case messages.RosterWanted():
+            return roster.on_wanted(state, peer, message)
+        case messages.RosterPage():
+            return roster.on_page(state, now, peer, message)
+        case _:
+            return None
--- /dev/null
+++ b/src/agateshelf/core/membership/view.py
@@ -0,0 +1,89 @@
+"""What other parts ask of membership."""
+
+import xxhash
+
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core.membership import const
+from agateshelf.core.membership import models
+
+_PRESENT = (models.Status.LIVE, models.Status.SUSPECT)
+
+
+def live_entries(state: core_state.State) -> tuple[str, ...]:
+    """Return the entries thought to be live, oneself included, in order.
+
+    An entry without peers knows the others from the platform's list only.
+    """
+    membership = state.membership
+    if membership.live is None:
+        membership.live = _compute_live(state)
+    return membership.live
+
+
+def _compute_live(state: core_state.State) -> tuple[str, ...]:
+    membership = state.membership
+    found = {state.identity.entry}
+    if not membership.has_peers:
+        found.update(membership.listed)
+    for member in membership.members.values():
+        if member.status in _PRESENT:
+            found.add(member.entry)
+    return tuple(sorted(found))
+
+
+def post_live(state: core_state.State) -> None:
+    """Tell the other parts which entries are thought to be live."""
+    seen = tuple(
+        events.LiveEntry(entry, failure_domain_of(state, entry) or "")
+        for entry in live_entries(state)
+    )
+    state.inbox.append(events.EntriesSeen(seen))
+
+
+def failure_domain_of(state: core_state.State, entry: str) -> str | None:
+    """Return where an entry runs, or None if that is not known."""
+    if entry == state.identity.entry:
+        return state.identity.failure_domain
+    member = state.membership.members.get(entry)
+    if member is not None:
+        return member.failure_domain
+    return state.membership.listed.get(entry)
+
+
+def neighbours(state: core_state.State) -> tuple[str, ...]:
+    """Return the entries that get this one's heartbeats.
+
+    Each entry draws its own few by a hash, so that connections stay open and
+    bounded at any size, and a change moves only few of them.
+    """
+    membership = state.membership
+    if membership.neighbours is None:
+        membership.neighbours = _compute_neighbours(state)
+    return membership.neighbours
+
+
+def _compute_neighbours(state: core_state.State) -> tuple[str, ...]:
+    me = state.identity.entry
+    others = [
+        member.entry
+        for member in state.membership.members.values()
+        if member.status in _PRESENT
+    ]
+    if len(others) > const.NEIGHBOURS:
+        others.sort(key=lambda entry: _rank(me, entry))
+        others = others[: const.NEIGHBOURS]
+    return tuple(sorted(others))
+
+
+def chosen(
+    state: core_state.State, purpose: str, count: int
+) -> tuple[str, ...]:
+    """Return live entries chosen for a purpose, the same at every entry."""
+    entries = live_entries(state)
+    ranked = sorted(entries, key=lambda entry: _rank(purpose, entry))
+    return tuple(ranked[:count])
+
+
+def _rank(purpose: str, entry: str) -> int:
+    return xxhash.xxh64_intdigest(f"{purpose}/{entry}".encode())
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -15,6 +15,9 @@
 from agateshelf.core.claims import owners as claim_owners
 from agateshelf.core.claims import pauses as claim_pauses
 from agateshelf.core.claims import shards as claim_shards
+from agateshelf.core.configuration import handling as configuration
+from agateshelf.core.membership import handling as membership
+from agateshelf.core.membership import models as membership_models
 from agateshelf.core.routing import choice
 
 
@@ -55,9 +58,9 @@
             return lifecycle.on_deadline(state, event)
         case events.ConfigurationRead():
             claim_pauses.start(state, now)
-            return _adopt(state, event)
-        case events.StopRequested() | events.StopDeadlinePassed():
-            return _on_stop(state, event)
+            return _adopt(state, now, event)
+        case events.StopRequested():
+            return _begin_stop(state, now)
         case events.Tick():
             return _run_due_timers(state, now)
         case events.CallAdmitted():
@@ -66,14 +69,19 @@
             return lifecycle.on_cleared(state, now, event)
         case events.CallRejected():
             return lifecycle.on_rejected(state, event)
-        case events.EntriesSeen():
-            return _on_entries(state, event)
-        case events.TargetListed():
-            return []
         case events.CallReplayed():
             return lifecycle.on_replayed(state, event)
         case events.ClaimsSettled():
             return lifecycle.exit_if_idle(state)
+        case _:
+            return _dispatch_coordination(state, now, event)
+
+
+def _dispatch_coordination(
+    state: core_state.State, now: float, event: events.Event
+) -> list[effects.Effect]:
+    """Handle what comes from other entries, the platform and operators."""
+    match event:
         case (
             events.ClaimDecided()
             | events.ClaimEnded()
@@ -83,9 +91,33 @@
         ):
             return claim_handling.on_event(state, now, event)
         case events.StoreAnswered():
-            return _on_store_answer(state, now, event)
+            return _hand_store_answer(state, now, event)
         case events.PeerSpoke():
-            return _on_peer_message(state, now, event)
+            return _hand_message(state, now, event)
+        case events.Started():
+            return [
+                *membership.on_started(state, now, event),
+                *configuration.on_started(state, now, event),
+            ]
+        case events.InstancesListed():
+            return membership.on_listed(state, now, event)
+        case events.InstancesNotListed():
+            return membership.on_not_listed(state, now)
+        case events.TargetListed():
+            choice.on_target_listed(state.routing, event)
+            return []
+        case events.EntriesSeen():
+            return _on_entries(state, event)
+        case (
+            membership_models.RoundDue()
+            | membership_models.AnswerDue()
+            | membership_models.SuspicionDue()
+            | membership_models.ForgetDue()
+            | membership_models.ListingDue()
+        ):
+            return membership.on_timer(state, now, event)
+        case _:
+            return configuration.on_event(state, now, event)
 
 
 def _on_entries(
@@ -95,15 +127,18 @@
     return []
 
 
-def _on_store_answer(
+def _hand_store_answer(
     state: core_state.State, now: float, event: events.StoreAnswered
 ) -> list[effects.Effect]:
     if event.request in state.claims.asked:
         return claim_shards.on_store_answer(state, now, event)
+    done = configuration.on_store_answer(state, now, event)
+    if done is not None:
+        return done
     return [effects.Count("events.not_awaited")]
 
 
-def _on_peer_message(
+def _hand_message(
     state: core_state.State, now: float, event: events.PeerSpoke
 ) -> list[effects.Effect]:
     match event.message:
@@ -112,27 +147,35 @@
         ) as message:
             return claim_handling.on_message(state, now, event.peer, message)
         case _:
-            return [effects.Count("events.not_awaited")]
+            pass
+    done = membership.on_message(state, now, event.peer, event.message)
+    if done is None:
+        done = configuration.on_message(state, now, event.peer, event.message)
+    if done is not None:
+        return done
+    return [effects.Count("events.not_awaited")]
 
 
 def _adopt(
-    state: core_state.State, event: events.ConfigurationRead
+    state: core_state.State, now: float, event: events.ConfigurationRead
 ) -> list[effects.Effect]:
     if event.configuration.version <= state.cfg.version:
-        return []
+        return configuration.on_not_adopted(state, event.configuration.version)
     state.cfg = event.configuration
     choice.adopt_configuration(state.routing, state.cfg)
-    return [effects.Count("configuration.adopted")]
+    return [
+        effects.Count("configuration.adopted"),
+        *configuration.on_adopted(state, now),
+    ]
 
 
-def _on_stop(
-    state: core_state.State,
-    event: events.StopRequested | events.StopDeadlinePassed,
-) -> list[effects.Effect]:
-    if isinstance(event, events.StopDeadlinePassed):
-        return lifecycle.on_stop_deadline(state)
+def _begin_stop(state: core_state.State, now: float) -> list[effects.Effect]:
     state.stopping = True
-    return [effects.BecomeUnready(), *lifecycle.exit_if_idle(state)]
+    return [
+        effects.BecomeUnready(),
+        *membership.on_stop(state, now),
+        *lifecycle.exit_if_idle(state),
+    ]
 
 
 def _run_due_timers(
--- a/src/agateshelf/core/routing/choice.py
+++ b/src/agateshelf/core/routing/choice.py
@@ -3,6 +3,7 @@
 from collections import abc
 import random
 
+from agateshelf.core import events
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.routing import models
 
@@ -56,3 +57,13 @@
 ) -> models.TargetView | None:
     """Return what is believed of a target, or None if it is not known."""
     return routing.services.get(service, {}).get(target)
+
+
+def on_target_listed(
+    routing: models.RoutingState, event: events.TargetListed
+) -> None:
+    """Follow the platform's word on whether a target is leaving."""
+    for views in routing.services.values():
+        view = views.get(event.target)
+        if view is not None:
+            view.draining = event.leaving
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -9,6 +9,8 @@
 from agateshelf.core.calls import models as call_models
 from agateshelf.core.claims import models as claim_models
 from agateshelf.core.configuration import models as configuration_models
+from agateshelf.core.configuration import spread_models
+from agateshelf.core.membership import models as membership_models
 from agateshelf.core.routing import models as routing_models
 
 
@@ -44,6 +46,8 @@
     cfg: configuration_models.Configuration
     calls: call_models.CallsState
     routing: routing_models.RoutingState
+    membership: membership_models.MembershipState
+    configuration: spread_models.ConfigurationState
     timers: timers.Timers
     claims: claim_models.ClaimsState
     inbox: collections.deque[events.Event] = dataclasses.field(
@@ -62,6 +66,8 @@
         cfg=configuration_models.create_empty(),
         calls=call_models.CallsState(),
         routing=routing_models.RoutingState(),
+        membership=membership_models.MembershipState(),
+        configuration=spread_models.ConfigurationState(),
         timers=timers.Timers(),
         claims=claim_models.create_state(
             identity.entry, rng.randbytes(claim_models.INCARNATION_BYTES)
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -5,13 +5,17 @@
 import curio
 import logbook
 
+from agateshelf import exceptions
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import reducer
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
 from agateshelf.daemon import metrics
+from agateshelf.daemon import operations
 from agateshelf.daemon.callers import exchanges
+from agateshelf.daemon.peers import transport
+from agateshelf.daemon.platform import instances
 from agateshelf.daemon.platform import store
 from agateshelf.daemon.targets import answers
 from agateshelf.daemon.targets import client
@@ -30,6 +34,9 @@
         targets: Client towards the targets.
         metrics: Counters that go to the metrics service.
         store: Client towards the platform's store.
+        instances: Client towards the platform's list of instances.
+        operators: Operators' questions that wait for an answer.
+        peers: Transport to the other entries; None without any.
         document: The checked document of the newest configuration read, for
             the administration API.
         ready: Whether readiness checks are answered with "ready".
@@ -42,6 +49,11 @@
     targets: client.TargetClient
     metrics: metrics.Metrics
     store: store.StoreClient
+    instances: instances.InstancesClient
+    operators: operations.Operations = dataclasses.field(
+        default_factory=operations.Operations
+    )
+    peers: transport.Transport | None = None
     document: configuration.ConfigurationDocument | None = None
     ready: bool = True
     exited: curio.Event = dataclasses.field(default_factory=curio.Event)
@@ -90,12 +102,47 @@
                 self.metrics.count(effect.name, effect.amount)
             case effects.BecomeUnready():
                 self.ready = False
+                _log.info("Stop requested, taking no new connections.")
             case effects.Exit():
                 await self.exited.set()
             case effects.AskStore():
                 await self.store.ask(effect, self.post)
+            case effects.SendToPeers() | effects.KnowPeer():
+                self._speak(effect)
+            case effects.ForgetPeer():
+                if self.peers is not None:
+                    self.peers.forget(effect.peer)
+            case effects.ListInstances():
+                await self.instances.ask(effect.timeout, self.post)
+            case effects.CheckConfiguration():
+                await self._check(effect)
+            case effects.Warn():
+                _log.warning(effect.sentence)
+            case (
+                effects.AnswerPatch()
+                | effects.AnswerHistory()
+                | effects.AnswerSurvey()
+            ):
+                await self.operators.answer(effect)
+
+    def _speak(self, effect: effects.SendToPeers | effects.KnowPeer) -> None:
+        if self.peers is None:
+            self.metrics.count("peers.unsent")
+            return
+        match effect:
             case effects.SendToPeers():
-                self.metrics.count("peers.unsent", len(effect.peers))
+                self.peers.send(effect.peers, effect.message)
+            case effects.KnowPeer():
+                self.peers.know(effect.peer, effect.address)
+
+    async def _check(self, effect: effects.CheckConfiguration) -> None:
+        try:
+            document = configuration.read_parts(effect.version, effect.parts)
+        except exceptions.DocumentError as exc:
+            invalid = events.ConfigurationInvalid(effect.version, str(exc))
+            await self.post(invalid)
+            return
+        await self.adopt(document)
 
     async def _deliver(self, effect: effects.DeliverAnswer) -> None:
         answer = self.targets.take_answer(effect.attempt)
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -4,6 +4,7 @@
 import secrets
 import signal
 import sys
+import time
 
 import click
 import curio
@@ -11,24 +12,27 @@
 
 from agateshelf import const
 from agateshelf import exceptions
+from agateshelf.core import events
 from agateshelf.core import state as core_state
+from agateshelf.core.membership import models as membership_models
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import listening
 from agateshelf.daemon import logs
 from agateshelf.daemon import metrics
 from agateshelf.daemon import signals
-from agateshelf.daemon import stopping
 from agateshelf.daemon.administration import server as administration
 from agateshelf.daemon.callers import exchanges
 from agateshelf.daemon.callers import memory
 from agateshelf.daemon.callers import server as callers
-from agateshelf.daemon.platform import configuration
+from agateshelf.daemon.peers import transport
+from agateshelf.daemon.platform import instances
 from agateshelf.daemon.platform import store
 from agateshelf.daemon.targets import client
 from agateshelf.daemon.targets import pool
 from agateshelf.documents import settings
 
 _SEED_BITS = 64
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 _log = logbook.Logger("daemon")
 
@@ -69,13 +73,40 @@
         targets=target_client,
         metrics=metrics.create_metrics(cfg.statsd),
         store=store.StoreClient(cfg.platform.store),
+        instances=instances.InstancesClient(cfg.platform.instances),
     )
 
 
+def create_peers(
+    cfg: settings.Settings, driver: daemon_driver.Driver, epoch: int
+) -> transport.Transport | None:
+    """Create the transport to other entries, if the settings name any."""
+    if cfg.peers is None:
+        return None
+    count = driver.metrics.count
+    return transport.create_transport(cfg.entry, epoch, cfg.peers, count)
+
+
+def create_started(
+    cfg: settings.Settings, peers: transport.Transport | None, epoch: int
+) -> events.Started:
+    """Create the event that sets the core out."""
+    if cfg.peers is None or peers is None:
+        return events.Started(epoch)
+    seeds = tuple(
+        membership_models.Contact(seed.entry, seed.address)
+        for seed in cfg.peers.seeds
+    )
+    address = cfg.peers.advertised or peers.address
+    return events.Started(epoch, address, seeds)
+
+
 async def run(cfg: settings.Settings) -> None:
     """Run one entry until a stop is asked for and everything is answered."""
     held = memory.Budget(cfg.limits.held_total_bytes)
     driver = create_driver(cfg, secrets.randbits(_SEED_BITS), held)
+    epoch = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+    driver.peers = create_peers(cfg, driver, epoch)
     caller_server = callers.create_server(driver, cfg, held)
     administration_server = administration.AdministrationServer(
         driver, cfg.limits, cfg.administration.token_sha256
@@ -88,19 +119,17 @@
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(driver.run_timers)
         await group.spawn(caller_server.watcher.run)
-        await group.spawn(configuration.follow, driver, cfg.platform.store)
+        if driver.peers is not None:
+            await group.spawn(driver.peers.run, driver.post)
+        await driver.post(create_started(cfg, driver.peers, epoch))
         await administration_listener.start()
         await listener.start()
         _log.info("Entry {} takes callers on {}.", cfg.entry, listener.address)
         await stop_signals.next()
-        _log.info("Stop requested, taking no new connections.")
-        await stopping.stop(
-            driver,
-            caller_server,
-            listener,
-            stop_signals,
-            cfg.limits.stop_seconds,
-        )
+        await listener.close()
+        await driver.post(events.StopRequested())
+        async with curio.ignore_after(cfg.limits.stop_seconds):
+            await driver.exited.wait()
         _log.info("Entry {} stopped.", cfg.entry)
 
 
--- a/src/agateshelf/daemon/peers/__init__.py
+++ b/src/agateshelf/daemon/peers/__init__.py
@@ -1,1 +1,1 @@
-"""The side towards other entries."""
+"""Messages between entries, over ZeroMQ."""
--- /dev/null
+++ b/src/agateshelf/daemon/peers/codec.py
@@ -0,0 +1,100 @@
+"""Messages between entries as bytes.
+
+An envelope is a list, so that later versions may append to it; a payload is a
+map, so that a reader skips fields it does not know and fills in defaults for
+those that an older sender leaves out.
+"""
+
+import dataclasses
+
+import msgspec
+
+from agateshelf import exceptions
+from agateshelf.core.claims import messages as claim_messages
+from agateshelf.core.configuration import messages as configuration_messages
+from agateshelf.core.membership import messages as membership_messages
+from agateshelf.core.peers import models
+from agateshelf.daemon.peers import const
+
+_TYPES: tuple[type[models.PeerMessage], ...] = (
+    membership_messages.Ping,
+    membership_messages.Ack,
+    membership_messages.PingFor,
+    membership_messages.AckFor,
+    membership_messages.RosterWanted,
+    membership_messages.RosterPage,
+    configuration_messages.Announce,
+    configuration_messages.PullContent,
+    configuration_messages.ContentChunk,
+    configuration_messages.AskVersion,
+    configuration_messages.TellVersion,
+    claim_messages.RecordsProposed,
+    claim_messages.RecordsDecided,
+)
+
+
+class MessageError(exceptions.AgateshelfError):
+    """Bytes are no message of this protocol."""
+
+
+class _Envelope(msgspec.Struct, array_like=True):
+    protocol: int
+    sender: str
+    epoch: int
+    sequence: int
+    type: str
+    payload: msgspec.Raw
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A message with what its envelope says.
+
+    Attributes:
+        sender: Identifier of the entry that sent it.
+        epoch: Number that grows with each process of the sender.
+        sequence: Number that grows with each message of that process.
+        message: The message.
+    """
+
+    sender: str
+    epoch: int
+    sequence: int
+    message: models.PeerMessage
+
+
+_encoder = msgspec.msgpack.Encoder()
+_envelope_decoder = msgspec.msgpack.Decoder(_Envelope)
+_decoders = {kind.__name__: msgspec.msgpack.Decoder(kind) for kind in _TYPES}
+
+
+def encode(
+    sender: str, epoch: int, sequence: int, message: models.PeerMessage
+) -> bytes:
+    """Return the bytes of a message."""
+    envelope = _Envelope(
+        const.PROTOCOL_VERSION,
+        sender,
+        epoch,
+        sequence,
+        type(message).__name__,
+        msgspec.Raw(_encoder.encode(message)),
+    )
+    return _encoder.encode(envelope)
+
+
+def decode(data: bytes) -> Received:
+    """Return the message that bytes hold.
+
+    Raises:
+        MessageError: They hold none, or one of a kind not known here.
+    """
+    try:
+        envelope = _envelope_decoder.decode(data)
+        decoder = _decoders.get(envelope.type)
+        if envelope.protocol < const.OLDEST_PROTOCOL_VERSION or not decoder:
+            raise MessageError(f"not known here: {envelope.type[:40]!r}")
+        message = decoder.decode(envelope.payload)
+    except (msgspec.MsgspecError, RecursionError, UnicodeError) as exc:
+        raise MessageError(str(exc)) from None
+    return Received(envelope.sender, envelope.epoch, envelope.sequence, message)
--- /dev/null
+++ b/src/agateshelf/daemon/peers/const.py
@@ -0,0 +1,26 @@
+"""Limits of the transport between entries."""
+
+from typing import Final
+
+PROTOCOL_VERSION: Final = 1
+OLDEST_PROTOCOL_VERSION: Final = 1
+
+MAX_MESSAGE_BYTES: Final = 96 * 1024
+SEND_QUEUE_MESSAGES: Final = 64
+RECEIVE_QUEUE_MESSAGES: Final = 1024
+MAX_CONNECTIONS: Final = 256
+MAX_SENDERS: Final = 8192
+MAX_ADDRESSES: Final = 8192
+DRAIN_AT_ONCE_MESSAGES: Final = 64
+RECONNECT_MILLISECONDS: Final = 100
+RECONNECT_MAX_MILLISECONDS: Final = 5000
+HANDSHAKE_MILLISECONDS: Final = 5000
+HEARTBEAT_MILLISECONDS: Final = 10000
+HEARTBEAT_TIMEOUT_MILLISECONDS: Final = 30000
+
+COUNT_GARBLED: Final = "peers.garbled"
+COUNT_REPLAYED: Final = "peers.replayed"
+COUNT_STRANGERS: Final = "peers.strangers"
+COUNT_UNSENT: Final = "peers.unsent"
+COUNT_SENT_BYTES: Final = "peers.sent_bytes"
+COUNT_RECEIVED_BYTES: Final = "peers.received_bytes"
--- /dev/null
+++ b/src/agateshelf/daemon/peers/transport.py
@@ -0,0 +1,226 @@
+"""The transport between entries: one bound socket, one socket per peer.
+
+Messages are dropped rather than queued without bound: whoever sends one
+relies on nothing. Only holders of the system's key pair are let in (CURVE).
+"""
+
+import collections
+from collections import abc
+import contextlib
+import dataclasses
+
+import curio
+import logbook
+import zmq
+
+from agateshelf.core import events
+from agateshelf.core.peers import models
+from agateshelf.daemon.peers import authentication
+from agateshelf.daemon.peers import codec
+from agateshelf.daemon.peers import const
+from agateshelf.daemon.peers import readiness
+from agateshelf.daemon.peers import replays
+from agateshelf.documents import settings
+
+_log = logbook.Logger("peers")
+
+Post = abc.Callable[[events.Event], abc.Awaitable[None]]
+Socket = zmq.Socket[bytes]
+
+
+@dataclasses.dataclass(slots=True)
+class Transport:
+    """Sends messages to other entries and posts theirs as events.
+
+    Attributes:
+        entry: Identifier of this entry.
+        epoch: Number that grows with each process of this entry.
+        cfg: Where to listen and the system's keys.
+        count: Adds to a counter.
+        context: ZeroMQ's context.
+        authenticator: Lets only holders of the system's key in.
+        inbound: The bound socket.
+        addresses: `HOST:PORT` of each known entry.
+        outbound: Open sockets by entry, the least recently used first.
+        received: Recognises repeated messages.
+        sequence: Number of the latest message sent.
+    """
+
+    entry: str
+    epoch: int
+    cfg: settings.Peers
+    count: authentication.Count
+    context: "zmq.Context[Socket]"
+    authenticator: authentication.Authenticator
+    inbound: Socket
+    addresses: dict[str, str] = dataclasses.field(default_factory=dict)
+    outbound: collections.OrderedDict[str, Socket] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    received: replays.Replays = dataclasses.field(
+        default_factory=replays.Replays
+    )
+    sequence: int = 0
+
+    def know(self, peer: str, address: str) -> None:
+        """Note where an entry is reached."""
+        if self.addresses.get(peer) == address:
+            return
+        if len(self.addresses) >= const.MAX_ADDRESSES:
+            return
+        self._close(peer)
+        self.addresses[peer] = address
+
+    def forget(self, peer: str) -> None:
+        """Close what is open towards an entry that is gone.
+
+        Its address stays: it may speak up and has to be answered.
+        """
+        self._close(peer)
+
+    def send(
+        self, peers: abc.Iterable[str], message: models.PeerMessage
+    ) -> None:
+        """Send a message to entries, or drop it where it can't be sent."""
+        for peer in peers:
+            self.sequence += 1
+            data = codec.encode(self.entry, self.epoch, self.sequence, message)
+            self._send_one(peer, data)
+
+    def _send_one(self, peer: str, data: bytes) -> None:
+        sock = self._socket_to(peer)
+        if sock is None or len(data) > const.MAX_MESSAGE_BYTES:
+            self.count(const.COUNT_UNSENT, 1)
+            return
+        try:
+            sock.send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            self.count(const.COUNT_UNSENT, 1)
+            return
+        self.count(const.COUNT_SENT_BYTES, len(data))
+
+    def _socket_to(self, peer: str) -> Socket | None:
+        sock = self.outbound.get(peer)
+        if sock is not None:
+            self.outbound.move_to_end(peer)
+            return sock
+        address = self.addresses.get(peer)
+        if address is None:
+            return None
+        sock = _create_outbound(self.context, self.cfg, address)
+        if sock is None:
+            return None
+        self.outbound[peer] = sock
+        if len(self.outbound) > const.MAX_CONNECTIONS:
+            _, oldest = self.outbound.popitem(last=False)
+            oldest.close()
+        return sock
+
+    def _close(self, peer: str) -> None:
+        sock = self.outbound.pop(peer, None)
+        if sock is not None:
+            sock.close()
+
+    async def run(self, post: Post) -> None:
+        """Post what other entries send as events; never returns."""
+        async with curio.TaskGroup(wait=None) as group:
+            await group.spawn(self.authenticator.run)
+            while True:
+                await readiness.wait_readable(self.inbound)
+                await self._receive_some(post)
+
+    async def _receive_some(self, post: Post) -> None:
+        with contextlib.suppress(zmq.Again):
+            for _ in range(const.DRAIN_AT_ONCE_MESSAGES):
+                frames = self.inbound.recv_multipart(zmq.NOBLOCK)
+                event = self._read(frames)
+                if event is not None:
+                    await post(event)
+        # Let other tasks run: a flood must not keep the loop.
+        await curio.sleep(0)
+
+    def _read(self, frames: list[bytes]) -> events.PeerSpoke | None:
+        self.count(const.COUNT_RECEIVED_BYTES, sum(map(len, frames)))
+        try:
+            received = codec.decode(frames[-1])
+        except codec.MessageError:
+            self.count(const.COUNT_GARBLED, 1)
+            return None
+        if received.sender == self.entry:
+            self.count(const.COUNT_GARBLED, 1)
+            return None
+        fresh = self.received.is_fresh(
+            received.sender, received.epoch, received.sequence
+        )
+        if not fresh:
+            self.count(const.COUNT_REPLAYED, 1)
+            return None
+        return events.PeerSpoke(received.sender, received.message)
+
+    def close(self) -> None:
+        """Close every socket."""
+        for sock in self.outbound.values():
+            sock.close()
+        self.outbound.clear()
+        self.inbound.close()
+        self.authenticator.sock.close()
+        self.context.term()
+
+    @property
+    def address(self) -> str:
+        """Return `HOST:PORT` as bound."""
+        endpoint = self.inbound.getsockopt(zmq.LAST_ENDPOINT)
+        text = endpoint.decode() if isinstance(endpoint, bytes) else ""
+        return text.rstrip("\0").removeprefix("tcp://")
+
+
+def create_transport(
+    entry: str, epoch: int, cfg: settings.Peers, count: authentication.Count
+) -> Transport:
+    """Create the transport of an entry and bind its socket.
+
+    Raises:
+        zmq.ZMQError: The address can't be bound.
+    """
+    context: zmq.Context[Socket] = zmq.Context()
+    authenticator = authentication.create_authenticator(
+        context, cfg.public_key, count
+    )
+    inbound = context.socket(zmq.ROUTER)
+    _set_common_options(inbound, cfg)
+    inbound.setsockopt(zmq.CURVE_SERVER, 1)
+    inbound.setsockopt(zmq.RCVHWM, const.RECEIVE_QUEUE_MESSAGES)
+    inbound.bind(f"tcp://{cfg.listen.host}:{cfg.listen.port}")
+    transport = Transport(
+        entry, epoch, cfg, count, context, authenticator, inbound
+    )
+    _log.info("Entry {} hears peers on {}.", entry, transport.address)
+    return transport
+
+
+def _create_outbound(
+    context: "zmq.Context[Socket]", cfg: settings.Peers, address: str
+) -> Socket | None:
+    sock = context.socket(zmq.DEALER)
+    _set_common_options(sock, cfg)
+    sock.setsockopt(zmq.SNDHWM, const.SEND_QUEUE_MESSAGES)
+    sock.setsockopt(zmq.CURVE_SERVERKEY, cfg.public_key.encode())
+    sock.setsockopt(zmq.RECONNECT_IVL, const.RECONNECT_MILLISECONDS)
+    sock.setsockopt(zmq.RECONNECT_IVL_MAX, const.RECONNECT_MAX_MILLISECONDS)
+    try:
+        sock.connect(f"tcp://{address}")
+    except zmq.ZMQError as exc:
+        _log.warning("No way to a peer at {}: {}.", address, exc)
+        sock.close()
+        return None
+    return sock
+
+
+def _set_common_options(sock: Socket, cfg: settings.Peers) -> None:
+    sock.setsockopt(zmq.LINGER, 0)
+    sock.setsockopt(zmq.MAXMSGSIZE, const.MAX_MESSAGE_BYTES)
+    sock.setsockopt(zmq.HANDSHAKE_IVL, const.HANDSHAKE_MILLISECONDS)
+    sock.setsockopt(zmq.HEARTBEAT_IVL, const.HEARTBEAT_MILLISECONDS)
+    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, const.HEARTBEAT_TIMEOUT_MILLISECONDS)
+    sock.setsockopt(zmq.CURVE_PUBLICKEY, cfg.public_key.encode())
+    sock.setsockopt(zmq.CURVE_SECRETKEY, cfg.secret_key.encode())
--- a/src/agateshelf/documents/configuration.py
+++ b/src/agateshelf/documents/configuration.py
@@ -1,10 +1,15 @@
 """The operators' configuration as a document, and its core form."""
 
+from collections import abc
 from typing import Annotated
+from typing import Any
 from typing import Self
 
+import msgspec
 import pydantic
 
+from agateshelf import exceptions
+from agateshelf.core.configuration import content
 from agateshelf.core.configuration import models
 from agateshelf.documents import check
 from agateshelf.documents import settings
@@ -14,6 +19,7 @@
 Method = Annotated[str, pydantic.Field(pattern=r"^[A-Z]+$")]
 Rate = Annotated[float, pydantic.Field(ge=0)]
 
+_SECTIONS = ("services", "teams")
 _DEFAULT_NON_IDEMPOTENT = ("POST", "PATCH")
 
 
@@ -102,6 +108,49 @@
         return self
 
 
+def to_parts(document: abc.Mapping[str, Any]) -> tuple[content.Part, ...]:
+    """Return the parts of a decoded document: one each service and team."""
+    parts = []
+    for section in _SECTIONS:
+        for name, value in document.get(section, {}).items():
+            encoded = msgspec.json.encode(value, order="sorted")
+            parts.append(content.Part(f"{section}/{name}", encoded))
+    return tuple(parts)
+
+
+def from_parts(
+    version: int, parts: abc.Iterable[content.Part]
+) -> dict[str, Any]:
+    """Return the decoded document of a version's parts.
+
+    Raises:
+        DocumentError: A part is not JSON, or not of a known kind.
+    """
+    document: dict[str, Any] = {"version": version}
+    for section in _SECTIONS:
+        document[section] = {}
+    for part in parts:
+        section, _, name = part.name.partition("/")
+        if section not in _SECTIONS:
+            raise exceptions.DocumentError(f"/{section}", "a known section")
+        try:
+            document[section][name] = msgspec.json.decode(part.value)
+        except msgspec.DecodeError:
+            raise exceptions.DocumentError(f"/{part.name}", "JSON") from None
+    return document
+
+
+def read_parts(
+    version: int, parts: abc.Iterable[content.Part]
+) -> ConfigurationDocument:
+    """Return the document of a version's parts, checked as a whole.
+
+    Raises:
+        DocumentError: They break a rule.
+    """
+    return check.check_value(ConfigurationDocument, from_parts(version, parts))
+
+
 def to_core(document: ConfigurationDocument) -> models.Configuration:
     """Return the core form of a checked configuration."""
     services = {
--- a/src/agateshelf/documents/settings.py
+++ b/src/agateshelf/documents/settings.py
@@ -16,6 +16,10 @@
 Address = Annotated[str, pydantic.Field(pattern=_ADDRESS)]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 Seconds = Annotated[float, pydantic.Field(gt=0, le=86400)]
+EntryName = Annotated[
+    str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9\-]{0,62}$")
+]
+CurveKey = Annotated[str, pydantic.Field(min_length=40, max_length=40)]
 Bytes = Annotated[int, pydantic.Field(ge=1024, le=1 << 30)]
 
 
@@ -58,6 +62,23 @@
     instances: Address
 
 
+class Seed(check.Document):
+    """Another entry to speak to first."""
+
+    entry: EntryName
+    address: Address
+
+
+class Peers(check.Document):
+    """How this entry speaks to the others; one key pair for the system."""
+
+    listen: Listen
+    advertised: Address | None = None
+    public_key: CurveKey
+    secret_key: CurveKey
+    seeds: tuple[Seed, ...] = ()
+
+
 class Limits(check.Document):
     """What one caller connection and one request may take."""
 
@@ -84,11 +105,12 @@
 class Settings(check.Document):
     """All settings of an entry."""
 
-    entry: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9\-]{0,62}$")]
+    entry: EntryName
     failure_domain: Annotated[str, pydantic.Field(min_length=1)]
     callers: Listen
     administration: AdministrationListen
     platform: Platform
+    peers: Peers | None = None
     limits: Limits = Limits()
     logs: Logs = Logs()
     statsd: Address | None = None
--- a/src/agateshelf_standins/system.py
+++ b/src/agateshelf_standins/system.py
@@ -16,6 +16,10 @@
 import urllib.error
 import urllib.request
 
+from agateshelf.core.configuration import content
+from agateshelf.core.configuration import records
+from agateshelf.documents import configuration
+
 START_SECONDS = 15.0
 STOP_SECONDS = 15.0
 _POLL_SECONDS = 0.02
@@ -170,6 +174,25 @@
         return exc.code, exc.read()
 
 
+def put_configuration(store: str, document: dict[str, Any]) -> None:
+    """Put a first configuration into an empty store.
+
+    Args:
+        store: Address of the store.
+        document: Services and teams; it becomes version 1.
+
+    Raises:
+        ValueError: The store refused it.
+    """
+    parts = configuration.to_parts(document)
+    for record in records.first_records(content.create_content(1, parts)):
+        path = f"/v1/kv/{record.key}"
+        headers = {"If-Version": "0"}
+        status, text = request(store, "PUT", path, record.value, headers)
+        if status != 200:
+            raise ValueError(text.decode())
+
+
 def control(process: Process, **options: Any) -> None:
     """Change options of a stand-in."""
     body = json.dumps(options).encode()
--- /dev/null
+++ b/tests/core/membership/test_membership.py
@@ -0,0 +1,145 @@
+"""Tests of who is thought to be live, in virtual time."""
+
+import dataclasses
+
+import pytest
+
+from agateshelf.core import events
+from agateshelf.core.membership import messages
+from agateshelf.core.membership import models
+from agateshelf.core.membership import view
+from bench import fleet as fleets
+
+SETTLED_SECONDS = 20.0
+
+
+def beliefs(fleet):
+    """Return what each running entry thinks to be live."""
+    return {
+        node.name: view.live_entries(node.state)
+        for node in fleet.nodes.values()
+        if node.alive
+    }
+
+
+def assert_all_agree(fleet, names):
+    expected = tuple(sorted(names))
+    for believed in beliefs(fleet).values():
+        assert believed == expected
+
+
+@pytest.fixture
+def fleet():
+    created = fleets.create_fleet(16, seed=1)
+    created.run_for(SETTLED_SECONDS)
+    return created
+
+
+def test_entries_find_each_other_from_a_few_seeds(fleet):
+    assert_all_agree(fleet, fleet.nodes)
+
+
+def test_an_entry_that_died_is_gone_for_all(fleet):
+    fleet.nodes["entry-3"].alive = False
+    fleet.run_for(SETTLED_SECONDS)
+    assert_all_agree(fleet, set(fleet.nodes) - {"entry-3"})
+
+
+def test_an_entry_that_stops_leaves_within_a_few_seconds(fleet):
+    leaving = fleet.nodes["entry-3"]
+    fleet.post(leaving, events.StopRequested())
+    fleet.run_for(3.0)
+    leaving.alive = False
+    assert_all_agree(fleet, set(fleet.nodes) - {"entry-3"})
+
+
+def test_losses_do_not_make_live_entries_gone(fleet):
+    fleet.loss = 0.1
+    fleet.run_for(120.0)
+    assert_all_agree(fleet, fleet.nodes)
+    assert fleet.counts["membership.suspected"] == 0
+
+
+def test_both_sides_of_a_healed_partition_find_each_other(fleet):
+    side = {f"entry-{n}" for n in range(6)}
+    fleet.parted = lambda a, b: (a in side) != (b in side)
+    fleet.run_for(60.0)
+    assert set(beliefs(fleet)["entry-0"]) == side
+    fleet.parted = lambda _a, _b: False
+    fleet.run_for(60.0)
+    assert_all_agree(fleet, fleet.nodes)
+
+
+def test_a_paused_entry_comes_back(fleet):
+    node = fleet.nodes["entry-3"]
+    fleet.pause(node)
+    fleet.run_for(30.0)
+    assert "entry-3" not in beliefs(fleet)["entry-0"]
+    fleet.resume(node)
+    fleet.run_for(60.0)
+    assert_all_agree(fleet, fleet.nodes)
+
+
+def test_a_restarted_entry_is_taken_back(fleet):
+    fleet.start("entry-3", ["entry-0"])
+    fleet.run_for(SETTLED_SECONDS)
+    assert_all_agree(fleet, fleet.nodes)
+
+
+def test_a_false_sender_changes_nothing(fleet):
+    node = fleet.nodes["entry-0"]
+    before = dict(node.state.membership.members)
+    forged = models.Member("entry-1", 10**15, models.Status.GONE, "x:1", "d")
+    message = messages.Ping(1, 99, forged)
+    fleet.post(node, events.PeerSpoke("entry-2", message))
+    assert node.state.membership.members == before
+    assert fleet.counts["membership.false_sender"] == 1
+
+
+def instance(name, role, *, leaving=False):
+    return models.Instance(name, role, f"{name}:1", "boston", leaving)
+
+
+@pytest.mark.parametrize(
+    "listed", [(), (instance("entry-0", models.Role.ENTRY),), None]
+)
+def test_wrong_lists_make_nobody_gone(fleet, listed):
+    fleet.instances = listed
+    fleet.run_for(60.0)
+    assert_all_agree(fleet, fleet.nodes)
+
+
+def test_the_list_alone_introduces_entries_to_each_other():
+    fleet = fleets.create_fleet(0, seed=2)
+    names = fleets.entry_names(8)
+    fleet.instances = tuple(instance(n, models.Role.ENTRY) for n in names)
+    for name in names:
+        fleet.start(name, [])
+    fleet.run_for(SETTLED_SECONDS)
+    assert_all_agree(fleet, names)
+
+
+def test_an_entry_without_peers_knows_the_list_only():
+    fleet = fleets.create_fleet(0, seed=2)
+    fleet.instances = (
+        instance("entry-1", models.Role.ENTRY),
+        instance("entry-2", models.Role.ENTRY, leaving=True),
+    )
+    node = fleet.start("entry-0", [], has_peers=False)
+    fleet.run_for(10.0)
+    assert view.live_entries(node.state) == ("entry-0", "entry-1")
+
+
+def test_a_target_listed_as_leaving_returns_only_when_it_lasts():
+    fleet = fleets.create_fleet(1, seed=3)
+    node = fleet.nodes["entry-0"]
+    live = instance("t0", models.Role.TARGET)
+    leaving = dataclasses.replace(live, leaving=True)
+    known = node.state.membership.leaving_targets
+    fleet.post(node, events.InstancesListed((leaving,)))
+    assert "t0" in known
+    for listed in ((live,), (live,), (), (leaving,), (live,), (live,)):
+        fleet.post(node, events.InstancesListed(listed))
+        assert "t0" in known
+    fleet.post(node, events.InstancesListed((live,)))
+    assert "t0" not in known
--- /dev/null
+++ b/tests/daemon/peers/test_transport.py
@@ -0,0 +1,187 @@
+"""Tests of the transport between entries, on real sockets on loopback."""
+
+import collections
+import contextlib
+
+import curio
+import pytest
+import zmq
+
+from agateshelf.core.configuration import messages
+from agateshelf.daemon.peers import codec
+from agateshelf.daemon.peers import const
+from agateshelf.daemon.peers import transport
+from agateshelf.documents import settings
+
+WAIT_SECONDS = 5.0
+QUIET_SECONDS = 0.4
+SAME_SYSTEM = zmq.curve_keypair()
+
+
+class Station:
+    """A transport with what it received and counted."""
+
+    def __init__(self, entry, keys, epoch=1):
+        public, secret = keys
+        cfg = settings.Peers(
+            listen=settings.Listen(port=0),
+            public_key=public.decode(),
+            secret_key=secret.decode(),
+        )
+        self.counts = collections.Counter()
+        self.received = curio.Queue()
+        self.transport = transport.create_transport(
+            entry, epoch, cfg, self._count
+        )
+
+    def _count(self, name, amount):
+        self.counts[name] += amount
+
+    async def start(self):
+        self.task = await curio.spawn(
+            self.transport.run, self.received.put, daemon=True
+        )
+
+    async def next(self):
+        async with curio.timeout_after(WAIT_SECONDS):
+            return await self.received.get()
+
+    async def wait_for_count(self, name):
+        async with curio.timeout_after(WAIT_SECONDS):
+            while not self.counts[name]:
+                await curio.sleep(0.01)
+
+    async def stop(self):
+        await self.task.cancel()
+        self.transport.close()
+
+
+def run_with(stations, scenario):
+    async def whole():
+        for station in stations:
+            await station.start()
+        try:
+            await scenario(*stations)
+        finally:
+            for station in stations:
+                await station.stop()
+
+    curio.run(whole)
+
+
+def announce(version):
+    return messages.Announce(version)
+
+
+def test_messages_pass_both_ways_in_order():
+    async def scenario(a, b):
+        a.transport.know("b", b.transport.address)
+        b.transport.know("a", a.transport.address)
+        for version in range(200):
+            a.transport.send(("b",), announce(version))
+            event = await b.next()
+            assert (event.peer, event.message) == ("a", announce(version))
+        b.transport.send(("a",), announce(7))
+        assert (await a.next()).message == announce(7)
+
+    run_with([Station("a", SAME_SYSTEM), Station("b", SAME_SYSTEM)], scenario)
+
+
+def test_a_burst_is_received_whole(monkeypatch):
+    monkeypatch.setattr(const, "DRAIN_AT_ONCE_MESSAGES", 4)
+
+    async def scenario(a, b):
+        a.transport.know("b", b.transport.address)
+        a.transport.send(("b",), announce(0))
+        await b.next()
+        for version in range(1, 50):
+            a.transport.send(("b",), announce(version))
+        await curio.sleep(QUIET_SECONDS)
+        for version in range(1, 50):
+            assert (await b.next()).message == announce(version)
+
+    run_with([Station("a", SAME_SYSTEM), Station("b", SAME_SYSTEM)], scenario)
+
+
+def test_a_stranger_with_other_keys_is_refused_and_counted():
+    stranger = Station("s", zmq.curve_keypair())
+
+    async def scenario(a, s):
+        # The stranger even knows the system's public key.
+        client = s.transport.context.socket(zmq.DEALER)
+        client.setsockopt(zmq.LINGER, 0)
+        client.curve_serverkey = SAME_SYSTEM[0]
+        client.curve_publickey, client.curve_secretkey = zmq.curve_keypair()
+        client.connect(f"tcp://{a.transport.address}")
+        client.send(codec.encode("s", 1, 1, announce(99)), zmq.NOBLOCK)
+        with contextlib.closing(client):
+            await a.wait_for_count(const.COUNT_STRANGERS)
+            await curio.sleep(QUIET_SECONDS)
+        assert a.received.empty()
+
+    run_with([Station("a", SAME_SYSTEM), stranger], scenario)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\x00" * 40,
+        b"\xff\xfe garbled",
+        codec.encode("b", 1, 1, announce(9))[:-1],
+        codec.encode("a", 1, 1, announce(9)),
+    ],
+)
+def test_a_garbled_or_forged_message_is_counted_and_dropped(data):
+    async def scenario(a, b):
+        b.transport.know("a", a.transport.address)
+        b.transport._socket_to("a").send(data)
+        await a.wait_for_count(const.COUNT_GARBLED)
+        b.transport.send(("a",), announce(2))
+        assert (await a.next()).message == announce(2)
+
+    run_with([Station("a", SAME_SYSTEM), Station("b", SAME_SYSTEM)], scenario)
+
+
+def test_a_replayed_message_is_counted_and_dropped():
+    async def scenario(a, b):
+        b.transport.know("a", a.transport.address)
+        sock = b.transport._socket_to("a")
+        recorded = codec.encode("b", 1, 5, announce(5))
+        for data in (recorded, recorded, codec.encode("b", 0, 9, announce(1))):
+            sock.send(data)
+        sock.send(codec.encode("b", 1, 6, announce(6)))
+        assert (await a.next()).message == announce(5)
+        assert (await a.next()).message == announce(6)
+        assert a.counts[const.COUNT_REPLAYED] == 2
+
+    run_with([Station("a", SAME_SYSTEM), Station("b", SAME_SYSTEM)], scenario)
+
+
+def test_an_oversized_message_does_not_pass():
+    async def scenario(a, b):
+        b.transport.know("a", a.transport.address)
+        large = messages.ContentChunk(
+            1, 1, "", 0, 0, 1, b"x" * const.MAX_MESSAGE_BYTES
+        )
+        b.transport.send(("a",), large)
+        assert b.counts[const.COUNT_UNSENT] == 1
+        sock = b.transport._socket_to("a")
+        sock.send(b"x" * (const.MAX_MESSAGE_BYTES + 1))
+        await curio.sleep(QUIET_SECONDS)
+        assert a.received.empty()
+        assert not a.counts[const.COUNT_RECEIVED_BYTES]
+
+    run_with([Station("a", SAME_SYSTEM), Station("b", SAME_SYSTEM)], scenario)
+
+
+def test_connections_are_bounded(monkeypatch):
+    monkeypatch.setattr(const, "MAX_CONNECTIONS", 3)
+
+    async def scenario(a):
+        for n in range(10):
+            a.transport.know(f"x{n}", "127.0.0.1:1")
+            a.transport.send((f"x{n}",), announce(1))
+        assert len(a.transport.outbound) == 3
+
+    run_with([Station("a", SAME_SYSTEM)], scenario)
