--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -209,6 +209,14 @@
     return any(state.calls.attempts[n].streaming for n in call.attempts)
 
 
+def on_stop_deadline(state: core_state.State) -> list[effects.Effect]:
+    """Give up every call left: the process ends now."""
+    done: list[effects.Effect] = []
+    for call in list(state.calls.calls.values()):
+        done.extend(give_up(state, call, _stopping_refusal(call)))
+    return done
+
+
 def on_caller_left(
     state: core_state.State, event: events.CallerLeft
 ) -> list[effects.Effect]:
@@ -238,6 +246,16 @@
     )
 
 
+def _stopping_refusal(call: models.Call) -> outcome_models.Refusal:
+    return outcome_models.Refusal(
+        status=_STATUS_UNAVAILABLE,
+        outcome=_open_outcome(call),
+        reason=const.REASON_STOPPING,
+        detail="This entry is stopping and could not wait for the answer.",
+        retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
+    )
+
+
 def _no_target_refusal(call: models.Call) -> outcome_models.Refusal:
     return outcome_models.Refusal(
         status=_STATUS_UNAVAILABLE,
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -124,6 +124,11 @@
     """The process was asked to stop gracefully."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopDeadlinePassed:
+    """The graceful stop has taken too long; give every call its last word."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """The time of the earliest timer has come."""
@@ -403,6 +408,7 @@
     | AttemptFailed
     | ConfigurationRead
     | StopRequested
+    | StopDeadlinePassed
     | Tick
     | DeadlinePassed
     | CallAdmitted
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -59,8 +59,8 @@
         case events.ConfigurationRead():
             claim_pauses.start(state, now)
             return _adopt(state, now, event)
-        case events.StopRequested():
-            return _begin_stop(state, now)
+        case events.StopRequested() | events.StopDeadlinePassed():
+            return _on_stop(state, now, event)
         case events.Tick():
             return _run_due_timers(state, now)
         case events.CallAdmitted():
@@ -169,7 +169,13 @@
     ]
 
 
-def _begin_stop(state: core_state.State, now: float) -> list[effects.Effect]:
+def _on_stop(
+    state: core_state.State,
+    now: float,
+    event: events.StopRequested | events.StopDeadlinePassed,
+) -> list[effects.Effect]:
+    if isinstance(event, events.StopDeadlinePassed):
+        return lifecycle.on_stop_deadline(state)
     state.stopping = True
     return [
         effects.BecomeUnready(),
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -102,7 +102,6 @@
                 self.metrics.count(effect.name, effect.amount)
             case effects.BecomeUnready():
                 self.ready = False
-                _log.info("Stop requested, taking no new connections.")
             case effects.Exit():
                 await self.exited.set()
             case effects.AskStore():
--- a/src/agateshelf/daemon/listening.py
+++ b/src/agateshelf/daemon/listening.py
@@ -1,6 +1,7 @@
 """Listening sockets whose connections outlive them."""
 
 from collections import abc
+import contextlib
 import dataclasses
 from typing import Any
 
@@ -42,12 +43,28 @@
         """Accept no further connection."""
         if self.task is not None:
             await self.task.cancel()
+        await self._take_waiting()
         await self.sock.close()
 
+    async def _take_waiting(self) -> None:
+        """Serve connections that the kernel has accepted already.
+
+        Closing the socket would reset them, with requests on their way.
+        """
+        with contextlib.suppress(OSError):
+            while True:
+                accepted, address = self.sock._socket.accept()  # noqa: SLF001
+                await self._spawn(curio.io.Socket(accepted), address)
+
     async def _accept(self) -> None:
         while True:
             sock, address = await self.sock.accept()
-            await curio.spawn(self._serve_one, sock, address, daemon=True)
+            await self._spawn(sock, address)
+
+    async def _spawn(
+        self, sock: curio.io.Socket, address: tuple[str, int]
+    ) -> None:
+        await curio.spawn(self._serve_one, sock, address, daemon=True)
 
     async def _serve_one(
         self, sock: curio.io.Socket, address: tuple[str, int]
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -20,6 +20,7 @@
 from agateshelf.daemon import logs
 from agateshelf.daemon import metrics
 from agateshelf.daemon import signals
+from agateshelf.daemon import stopping
 from agateshelf.daemon.administration import server as administration
 from agateshelf.daemon.callers import exchanges
 from agateshelf.daemon.callers import memory
@@ -126,10 +127,14 @@
         await listener.start()
         _log.info("Entry {} takes callers on {}.", cfg.entry, listener.address)
         await stop_signals.next()
-        await listener.close()
-        await driver.post(events.StopRequested())
-        async with curio.ignore_after(cfg.limits.stop_seconds):
-            await driver.exited.wait()
+        _log.info("Stop requested, taking no new connections.")
+        await stopping.stop(
+            driver,
+            caller_server,
+            listener,
+            stop_signals,
+            cfg.limits.stop_seconds,
+        )
         _log.info("Entry {} stopped.", cfg.entry)
 
 
--- /dev/null
+++ b/src/agateshelf/daemon/stopping.py
@@ -0,0 +1,59 @@
+"""The graceful stop of an entry.
+
+The core says when it has decided everything; that is not yet the end, since a
+word may be decided and not written. The process ends when the count of what is
+owed to callers is zero.
+"""
+
+import curio
+import logbook
+
+from agateshelf.core import events
+from agateshelf.daemon import driver as daemon_driver
+from agateshelf.daemon import listening
+from agateshelf.daemon import signals
+from agateshelf.daemon.callers import server
+
+_LAST_WORDS_SECONDS = 2.0
+
+_log = logbook.Logger("stop")
+
+
+async def stop(
+    driver: daemon_driver.Driver,
+    caller_server: server.CallerServer,
+    listener: listening.Listener,
+    stop_signals: signals.Signals,
+    seconds: float,
+) -> None:
+    """Finish what is owed, or give true refusals at a signal or deadline.
+
+    Args:
+        driver: The driver.
+        caller_server: The server whose connections end.
+        listener: The callers' listener, which is closed.
+        stop_signals: A further signal ends the wait.
+        seconds: Seconds to wait at most.
+    """
+    await driver.post(events.StopRequested())
+    await listener.close()
+    await caller_server.stop()
+    async with curio.ignore_after(seconds) as late:
+        async with curio.TaskGroup(wait=any) as group:
+            settled = await group.spawn(_settle, driver)
+            await group.spawn(stop_signals.next)
+        if group.completed is settled:
+            return
+    why = "Stop took too long" if late.expired else "Signal came again"
+    _log.warning("{}, {} obligations left.", why, driver.exchanges.owed.owed)
+    await driver.post(events.StopDeadlinePassed())
+    async with curio.ignore_after(_LAST_WORDS_SECONDS):
+        await driver.exchanges.owed.wait()
+
+
+async def _settle(driver: daemon_driver.Driver) -> None:
+    """Wait until every word is written and the core owes nothing either."""
+    await driver.exchanges.owed.wait()
+    driver.exited.clear()
+    await driver.post(events.StopRequested())
+    await driver.exited.wait()
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -88,3 +88,13 @@
         state, 1.2, events.AttemptAnswered(first.attempt, 200)
     )
     assert done[-1] == effects.Exit()
+
+
+def test_end_of_a_stop_says_unknown_only_of_what_was_started(state):
+    started(arrive(state, "POST"))
+    reducer.reduce(state, 1.1, events.StopRequested())
+    done = reducer.reduce(state, 1.2, events.StopDeadlinePassed())
+    refusal = refused(done)
+    assert refusal.outcome is outcome_models.Outcome.UNKNOWN
+    assert refusal.reason == "stopping"
+    assert not state.calls.calls
--- /dev/null
+++ b/tests/daemon/test_stops.py
@@ -0,0 +1,97 @@
+"""Planned stops of an entry, on real processes."""
+
+import signal
+import time
+
+from tests.daemon import small_system
+
+from agateshelf_standins import system
+
+BODY_BYTES = 16_000_000
+HELD = {"held_answer_bytes": 32 << 20, "held_total_bytes": 64 << 20}
+
+
+def ask(sock, method="GET", *lines):
+    head = "\r\n".join([f"{method} /recall/1 HTTP/1.1", "Host: h", *lines])
+    sock.sendall(head.encode() + b"\r\n\r\n")
+
+
+def wait_until_running(small):
+    end = time.monotonic() + 5
+    while time.monotonic() < end:
+        _, body = system.request(small.target.address, "GET", "/load")
+        if b'"in_flight": 1' in body:
+            return
+        time.sleep(0.02)
+    raise AssertionError("the request did not reach the target")
+
+
+def test_decided_answer_is_written_to_its_last_byte(running):
+    small = small_system.start(running, limits=HELD)
+    with small.connect() as sock:
+        ask(sock, "GET", f"Answer-Bytes: {BODY_BYTES}")
+        start = sock.recv(100)
+        small.entry.process.popen.send_signal(signal.SIGTERM)
+        time.sleep(0.7)
+        data = start + small_system.read_all(sock)
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert b" 200 " in head
+    assert len(body) == BODY_BYTES
+    assert small.entry.process.popen.wait(10) == 0
+
+
+def test_request_in_flight_finishes_and_idle_connections_end(running):
+    small = small_system.start(running, target_options=("--service-ms", "700"))
+    with small.connect() as busy, small.connect() as idle:
+        ask(idle)
+        assert b"200" in idle.recv(65536)
+        ask(busy, "POST", "Content-Length: 0")
+        wait_until_running(small)
+        began = time.monotonic()
+        small.entry.process.popen.send_signal(signal.SIGTERM)
+        assert small_system.read_all(idle) == b""
+        assert time.monotonic() - began < 0.5
+        status, _ = system.request(small.entry.admin, "GET", "/ready")
+        assert status == 503
+        data = small_system.read_all(busy)
+    assert b" 200 " in data
+    assert b"connection: close" in data.lower()
+    assert small.entry.process.popen.wait(5) == 0
+    assert time.monotonic() - began < 3
+
+
+def told_when_cut_short(small):
+    with small.connect() as sock:
+        ask(sock, "POST", "Content-Length: 0")
+        wait_until_running(small)
+        process = small.entry.process.popen
+        process.send_signal(signal.SIGTERM)
+        time.sleep(0.3)
+        assert process.poll() is None
+        yield
+        data = small_system.read_all(sock)
+    assert b" 503 " in data
+    assert b"agateshelf-outcome: unknown" in data.lower()
+    assert process.wait(5) == 0
+    yield
+
+
+def test_second_signal_gives_each_caller_a_true_word(running):
+    small = small_system.start(running, target_options=("--service-ms", "2500"))
+    step = told_when_cut_short(small)
+    next(step)
+    small.entry.process.popen.send_signal(signal.SIGTERM)
+    began = time.monotonic()
+    next(step)
+    assert time.monotonic() - began < 3
+
+
+def test_deadline_of_the_stop_gives_each_caller_a_true_word(running):
+    small = small_system.start(
+        running,
+        limits={"stop_seconds": 1},
+        target_options=("--service-ms", "2500"),
+    )
+    step = told_when_cut_short(small)
+    next(step)
+    next(step)
