Limit calls in flight, queue briefly in fair turns, budget retries

Every call passed at once and every idempotent call was retried up to three times, so an overload filled the targets' queues and tripled itself.

Calls now wait in a short queue per pool of targets: strict classes with one release in 16 for a lower one, start-time fair queueing between callers, refused at once with "not run" when the queue is full, too slow, or when the deadline can't be met. Limits on attempts in flight follow each target (additive increase, multiplicative decrease on the load that answers carry, on refusals and timeouts). Retries and hedges spend from one bucket per service; a call marked Agateshelf-No-Retry is never retried, and targets are told a little less time than the entry waits.

Admission stands before claims, so that a shed call costs no store write; a call that waits for its claim takes no place in the window, within a bound of its own. Ruled out: claims first (a write for each call that is then shed).

--- a/src/agateshelf/core/calls/const.py
+++ b/src/agateshelf/core/calls/const.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-MAX_IDEMPOTENT_ATTEMPTS: Final = 3
 DEFAULT_RETRY_AFTER_SECONDS: Final = 1.0
 
 REASON_NO_SERVICE: Final = "no-such-service"
--- a/src/agateshelf/core/calls/ending.py
+++ b/src/agateshelf/core/calls/ending.py
@@ -6,8 +6,10 @@
 from agateshelf.core.calls import const
 from agateshelf.core.calls import lifecycle
 from agateshelf.core.calls import models
+from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
+from agateshelf.core.retries import rules as rules_of_retries
 from agateshelf.core.routing import choice
 
 _STATUS_BAD_GATEWAY = 502
@@ -28,12 +30,13 @@
         rules.verdict_of_answer(call.service, event.status, event.headers),
     )
     call.answer = rules.recorded(event.status, event.headers, event.body)
+    admission.on_answer(state, now, attempt, event)
     refused = rules.is_refusal(call.service, event.headers)
     unavailable = call.idempotent and event.status == _STATUS_UNAVAILABLE
     if (refused or unavailable) and not event.streaming:
         lifecycle.end_attempt(state, attempt.number)
-        if _may_retry(call):
-            return lifecycle.start_attempt(state, now, call)
+        if rules_of_retries.may_retry(state, now, call):
+            return lifecycle.start_retry(state, now, call)
         return _deliver(state, call, attempt)
     if event.streaming:
         return _deliver_stream(state, call, attempt)
@@ -97,15 +100,16 @@
     ended = lifecycle.end_attempt(state, event.attempt)
     if ended is None:
         return []
-    call, _ = ended
+    call, attempt = ended
+    admission.on_failure(state, attempt, event)
     verdict = rules.verdict_of_failure(
         event.kind, any_byte_sent=event.any_byte_sent
     )
     _note(call, verdict)
     if call.attempts:
         return []
-    if _may_retry(call):
-        return lifecycle.start_attempt(state, now, call)
+    if rules_of_retries.may_retry(state, now, call):
+        return lifecycle.start_retry(state, now, call)
     return lifecycle.give_up(state, call, _failure_refusal(call))
 
 
@@ -113,16 +117,6 @@
     call.verdict = max(call.verdict, verdict)
 
 
-def _may_retry(call: models.Call) -> bool:
-    if call.no_retry:
-        return False
-    if len(call.tried) >= const.MAX_IDEMPOTENT_ATTEMPTS:
-        return False
-    if call.idempotent:
-        return True
-    return call.verdict is outcome_models.Verdict.DID_NOT_RUN
-
-
 def _failure_refusal(call: models.Call) -> outcome_models.Refusal:
     return outcome_models.Refusal(
         status=_STATUS_BAD_GATEWAY,
--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -9,8 +9,10 @@
 from agateshelf.core.claims import refusals as claim_refusals
 from agateshelf.core.claims import requests as claim_requests
 from agateshelf.core.configuration import models as configuration_models
+from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
+from agateshelf.core.retries import budget
 from agateshelf.core.routing import choice
 
 _STATUS_NOT_FOUND = 404
@@ -32,7 +34,7 @@
     timers.schedule(
         state.timers, call.deadline, events.DeadlinePassed(call.number)
     )
-    state.inbox.append(events.CallAdmitted(call.number))
+    admission.admit(state, now, call)
     return []
 
 
@@ -122,6 +124,7 @@
     state.calls.attempts[number] = attempt
     call.attempts.add(number)
     call.tried.add(view.target.id)
+    admission.on_attempt_started(state, call.number, view.target.id)
     effect = effects.StartAttempt(
         call=call.number,
         attempt=number,
@@ -129,11 +132,22 @@
         address=view.target.address,
         timeout=min(remaining, call.service.attempt_timeout),
         fresh=not call.idempotent,
-        no_retry=True,
+        no_retry=call.no_retry or call.service.retry_share > 0,
     )
     return [effect]
 
 
+def start_retry(
+    state: core_state.State, now: float, call: models.Call
+) -> list[effects.Effect]:
+    """Start a retry that `retries.rules` allows, at the budget's expense."""
+    budget.spend(state.retries, call.service)
+    return [
+        effects.Count("attempts.retries"),
+        *start_attempt(state, now, call),
+    ]
+
+
 def end_attempt(
     state: core_state.State, number: int
 ) -> tuple[models.Call, models.Attempt] | None:
@@ -145,6 +159,7 @@
     if call is None:
         return None
     call.attempts.discard(number)
+    admission.on_attempt_ended(state, call.number, attempt.target)
     view = choice.view_of(state.routing, call.service.name, attempt.target)
     if view is not None:
         view.in_flight = max(0, view.in_flight - 1)
@@ -183,6 +198,7 @@
     """Forget a call that has had its final word."""
     del state.calls.calls[call.number]
     claim_requests.post_end(state, call)
+    admission.on_call_ended(state, call.number)
     return exit_if_idle(state)
 
 
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -223,6 +223,20 @@
     """Time to look whether this process was stopped for a while (timer)."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotFreed:
+    """An attempt or claim of a service ended while calls wait (internal)."""
+
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitEnded:
+    """A call has waited for a free target as long as it may (timer)."""
+
+    call: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreAnswered:
     """The platform's store answered a request, or did not.
@@ -421,6 +435,8 @@
     | ClaimOverdue
     | ClaimsDue
     | ClaimsBeat
+    | SlotFreed
+    | WaitEnded
     | StoreAnswered
     | PeerSpoke
     | EntriesSeen
--- /dev/null
+++ b/src/agateshelf/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits: who may take how much, of what each target can bear."""
--- /dev/null
+++ b/src/agateshelf/core/limits/admission.py
@@ -0,0 +1,254 @@
+"""Admission: a call passes, waits for a free target, or is refused at once.
+
+A call that waits has been sent nowhere, so its refusal truly says "not run".
+Admission comes before claims: a call shed under overload costs no write to the
+store. A call that waits for its claim holds no place in the window.
+"""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core import timers
+from agateshelf.core.calls import models as call_models
+from agateshelf.core.limits import const
+from agateshelf.core.limits import latency
+from agateshelf.core.limits import models
+from agateshelf.core.limits import pools
+from agateshelf.core.limits import queueing
+from agateshelf.core.limits import refusals
+from agateshelf.core.limits import window
+from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.retries import budget
+
+Effects = list[effects.Effect]
+
+_ENTRIES = 1
+
+
+def admit(state: core_state.State, now: float, call: call_models.Call) -> None:
+    """Let a new call pass, have it wait, or reject it; by internal events."""
+    pool = state.limits.pools[call.service.name]
+    ticket = models.Ticket(
+        call=call.number,
+        service=call.service,
+        caller=call.caller,
+        claims=not call.idempotent,
+        deadline=call.deadline,
+        arrived=now,
+        pool=pool,
+    )
+    state.limits.tickets[call.number] = ticket
+    reason = _refusal_reason(state, now, ticket)
+    if reason is not None:
+        _reject(state, ticket, reason)
+        return
+    if pool.queue.length == 0 and _may_pass(pool, ticket):
+        _let_pass(state, ticket)
+        return
+    _wait(state, now, ticket)
+
+
+def adopt_configuration(state: core_state.State) -> None:
+    """Follow the configuration that has just come into force."""
+    pools.adopt_configuration(state.limits, state.cfg, _ENTRIES)
+    budget.forget_others(state.retries, state.cfg.services)
+
+
+def on_answer(
+    state: core_state.State,
+    now: float,
+    attempt: call_models.Attempt,
+    event: events.AttemptAnswered,
+) -> None:
+    """Learn what an answer says of its target, before its attempt ends."""
+    ticket = state.limits.tickets.get(attempt.call)
+    if ticket is None:
+        return
+    if event.status >= const.STATUS_SERVER_ERROR:
+        if event.status == const.STATUS_UNAVAILABLE:
+            window.on_overload(ticket.pool, attempt.target)
+        return
+    seconds = now - attempt.started
+    window.on_answer(ticket.pool, attempt.target, seconds, event.load)
+    latency.learn(ticket.pool, seconds)
+
+
+def on_failure(
+    state: core_state.State,
+    attempt: call_models.Attempt,
+    event: events.AttemptFailed,
+) -> None:
+    """Learn from an attempt that its target left without an answer."""
+    ticket = state.limits.tickets.get(attempt.call)
+    if ticket is None:
+        return
+    if event.kind is outcome_models.FailureKind.TIMEOUT:
+        window.on_overload(ticket.pool, attempt.target)
+
+
+def on_slot_freed(
+    state: core_state.State, now: float, event: events.SlotFreed
+) -> Effects:
+    """Let waiting calls pass while there is room for them."""
+    pool = state.limits.pools.get(event.service)
+    if pool is not None:
+        _release(state, now, pool)
+    return []
+
+
+def on_wait_ended(
+    state: core_state.State, now: float, event: events.WaitEnded
+) -> Effects:
+    """Give up a call that has waited as long as it may."""
+    ticket = state.limits.tickets.get(event.call)
+    if ticket is None or ticket.phase is not models.Phase.QUEUED:
+        return []
+    queueing.remove(ticket.pool.queue, ticket)
+    _note_empty(ticket.pool, now)
+    _reject(state, ticket, const.REASON_WAITED)
+    return []
+
+
+def on_attempt_started(state: core_state.State, call: int, target: str) -> None:
+    """Count an attempt of a call that passed."""
+    ticket = state.limits.tickets.get(call)
+    if ticket is None:
+        return
+    _leave_door(state, ticket)
+    window.on_started(ticket.pool, target)
+
+
+def on_attempt_ended(state: core_state.State, call: int, target: str) -> None:
+    """Count an attempt out; its place goes to a call that waits."""
+    ticket = state.limits.tickets.get(call)
+    if ticket is None:
+        return
+    window.on_ended(ticket.pool, target)
+    _post_freed(state, ticket)
+
+
+def on_call_ended(state: core_state.State, call: int) -> None:
+    """Forget a call that has had its final word, or whose caller left."""
+    ticket = state.limits.tickets.pop(call, None)
+    if ticket is None:
+        return
+    if ticket.phase is models.Phase.QUEUED:
+        queueing.remove(ticket.pool.queue, ticket)
+    _leave_door(state, ticket)
+    _post_freed(state, ticket)
+
+
+def _refusal_reason(
+    state: core_state.State, now: float, ticket: models.Ticket
+) -> str | None:
+    share = const.CLASS_SHARES[ticket.service.priority]
+    if len(state.limits.tickets) > const.MOST_CALLS_PER_ENTRY * share:
+        return const.REASON_ENTRY_FULL
+    if now + ticket.pool.median >= ticket.deadline:
+        return const.REASON_TOO_LATE
+    return None
+
+
+def _may_pass(pool: models.Pool, ticket: models.Ticket) -> bool:
+    if not window.has_room(pool):
+        return False
+    return not ticket.claims or window.may_claim(pool)
+
+
+def _let_pass(state: core_state.State, ticket: models.Ticket) -> None:
+    if ticket.claims:
+        ticket.phase = models.Phase.CLAIMING
+        ticket.pool.claiming += 1
+    else:
+        ticket.phase = models.Phase.PASSING
+        ticket.pool.passing += 1
+    budget.earn(state.retries, ticket.service)
+    state.inbox.append(events.CallAdmitted(ticket.call))
+
+
+def _wait(state: core_state.State, now: float, ticket: models.Ticket) -> None:
+    queue = ticket.pool.queue
+    name = ticket.service.name
+    if queue.lengths.get(name, 0) >= ticket.service.queue:
+        given_up = queueing.newest_of_longest(queue, ticket)
+        if given_up is not ticket:
+            queueing.remove(queue, given_up)
+        _reject(state, given_up, const.REASON_QUEUE_FULL)
+        if given_up is ticket:
+            return
+    queueing.push(queue, ticket, now)
+    ends = min(now + _longest_wait(ticket.pool, now), _latest_start(ticket))
+    timers.schedule(state.timers, ends, events.WaitEnded(ticket.call))
+
+
+def _release(state: core_state.State, now: float, pool: models.Pool) -> None:
+    _drop_late(state, now, pool)
+    while window.has_room(pool):
+        ticket = queueing.pop(pool.queue, may_claim=window.may_claim(pool))
+        if ticket is None:
+            break
+        _let_pass(state, ticket)
+    _note_empty(pool, now)
+
+
+def _drop_late(state: core_state.State, now: float, pool: models.Pool) -> None:
+    longest = _longest_wait(pool, now)
+    late = _late_heads(pool, now, longest)
+    while late:
+        for ticket in late:
+            queueing.remove(pool.queue, ticket)
+            _reject(state, ticket, const.REASON_WAITED)
+        late = _late_heads(pool, now, longest)
+
+
+def _late_heads(
+    pool: models.Pool, now: float, longest: float
+) -> list[models.Ticket]:
+    return [
+        ticket
+        for ticket in queueing.heads(pool.queue)
+        if now > min(ticket.arrived + longest, _latest_start(ticket))
+    ]
+
+
+def _longest_wait(pool: models.Pool, now: float) -> float:
+    """Return how long a call may wait: briefly once the queue stands."""
+    calm = max(const.CALM_WAIT_SECONDS, pool.median * const.CALM_WAIT_MEDIANS)
+    stands = pool.queue.length > 0 and now - pool.queue.emptied > calm
+    if not stands:
+        return calm
+    busy = pool.median * const.BUSY_WAIT_MEDIANS
+    return max(const.BUSY_WAIT_LEAST_SECONDS, busy)
+
+
+def _latest_start(ticket: models.Ticket) -> float:
+    return ticket.deadline - ticket.pool.median
+
+
+def _note_empty(pool: models.Pool, now: float) -> None:
+    if pool.queue.length == 0:
+        pool.queue.emptied = now
+
+
+def _leave_door(state: core_state.State, ticket: models.Ticket) -> None:
+    """Count a call out of those let pass that have not started."""
+    match ticket.phase:
+        case models.Phase.PASSING:
+            ticket.pool.passing -= 1
+        case models.Phase.CLAIMING:
+            ticket.pool.claiming -= 1
+            _post_freed(state, ticket)
+    ticket.phase = models.Phase.STARTED
+
+
+def _post_freed(state: core_state.State, ticket: models.Ticket) -> None:
+    if ticket.pool.queue.length:
+        state.inbox.append(events.SlotFreed(ticket.service.name))
+
+
+def _reject(
+    state: core_state.State, ticket: models.Ticket, reason: str
+) -> None:
+    ticket.phase = models.Phase.STARTED
+    word = refusals.refusal(state.rng, reason)
+    state.inbox.append(events.CallRejected(ticket.call, word))
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -16,6 +16,7 @@
 from agateshelf.core.claims import pauses as claim_pauses
 from agateshelf.core.claims import shards as claim_shards
 from agateshelf.core.configuration import handling as configuration
+from agateshelf.core.limits import admission
 from agateshelf.core.membership import handling as membership
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.routing import choice
@@ -73,6 +74,10 @@
             return lifecycle.on_replayed(state, event)
         case events.ClaimsSettled():
             return lifecycle.exit_if_idle(state)
+        case events.SlotFreed():
+            return admission.on_slot_freed(state, now, event)
+        case events.WaitEnded():
+            return admission.on_wait_ended(state, now, event)
         case _:
             return _dispatch_coordination(state, now, event)
 
@@ -163,6 +168,7 @@
         return configuration.on_not_adopted(state, event.configuration.version)
     state.cfg = event.configuration
     choice.adopt_configuration(state.routing, state.cfg)
+    admission.adopt_configuration(state)
     return [
         effects.Count("configuration.adopted"),
         *configuration.on_adopted(state, now),
--- /dev/null
+++ b/src/agateshelf/core/retries/budget.py
@@ -0,0 +1,57 @@
+"""The budget of extra attempts: retries and hedges spend from one bucket.
+
+Each admitted call earns its service's `retry_share` of a token, up to
+`MOST_TOKENS`; each extra attempt costs one. So over any stretch an entry starts
+at most `MOST_TOKENS + retry_share * calls` extra attempts for a service, and
+since its bucket starts with `FIRST_TOKENS`, at most that many more than the
+share over its whole life.
+"""
+
+from collections import abc
+
+from agateshelf.core.configuration import models as configuration_models
+from agateshelf.core.retries import const
+from agateshelf.core.retries import models
+
+
+def earn(
+    retries: models.RetriesState, service: configuration_models.Service
+) -> None:
+    """Credit a service with one admitted call."""
+    budget = _budget_of(retries, service)
+    earned = budget.tokens + service.retry_share
+    budget.tokens = min(const.MOST_TOKENS, earned)
+
+
+def may_spend(
+    retries: models.RetriesState, service: configuration_models.Service
+) -> bool:
+    """Return whether a service may start one more extra attempt now."""
+    if service.retry_share == 0:
+        return False
+    return _budget_of(retries, service).tokens >= 1
+
+
+def spend(
+    retries: models.RetriesState, service: configuration_models.Service
+) -> None:
+    """Charge a service for an extra attempt that starts now."""
+    _budget_of(retries, service).tokens -= 1
+
+
+def forget_others(
+    retries: models.RetriesState, services: abc.Container[str]
+) -> None:
+    """Drop the budgets of services that are not among the given ones."""
+    kept = {k: v for k, v in retries.budgets.items() if k in services}
+    retries.budgets = kept
+
+
+def _budget_of(
+    retries: models.RetriesState, service: configuration_models.Service
+) -> models.Budget:
+    budget = retries.budgets.get(service.name)
+    if budget is None:
+        budget = models.Budget()
+        retries.budgets[service.name] = budget
+    return budget
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -10,7 +10,9 @@
 from agateshelf.core.claims import models as claim_models
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.configuration import spread_models
+from agateshelf.core.limits import models as limit_models
 from agateshelf.core.membership import models as membership_models
+from agateshelf.core.retries import models as retry_models
 from agateshelf.core.routing import models as routing_models
 
 
@@ -50,6 +52,12 @@
     configuration: spread_models.ConfigurationState
     timers: timers.Timers
     claims: claim_models.ClaimsState
+    limits: limit_models.LimitsState = dataclasses.field(
+        default_factory=limit_models.LimitsState
+    )
+    retries: retry_models.RetriesState = dataclasses.field(
+        default_factory=retry_models.RetriesState
+    )
     inbox: collections.deque[events.Event] = dataclasses.field(
         default_factory=collections.deque
     )
--- a/src/agateshelf/daemon/targets/requests.py
+++ b/src/agateshelf/daemon/targets/requests.py
@@ -4,6 +4,7 @@
 
 from agateshelf import const
 from agateshelf.core import effects
+from agateshelf.core.retries import deadlines
 from agateshelf.daemon import messages
 from agateshelf.daemon.targets import connection
 
@@ -45,7 +46,7 @@
     if host is None:
         host = effect.address.encode()
         headers.append((b"host", host))
-    milliseconds = max(1, int(effect.timeout * 1000))
+    milliseconds = deadlines.told_milliseconds(effect.timeout)
     headers.append((_TIMEOUT_MS, b"%d" % milliseconds))
     if effect.no_retry:
         headers.append((_NO_RETRY, b"1"))
--- /dev/null
+++ b/tests/core/limits/test_queueing.py
@@ -0,0 +1,68 @@
+"""Tests of the order in which waiting calls go."""
+
+import collections
+
+from tests.core.limits import scenes
+
+from agateshelf.core.configuration import models as configuration_models
+from agateshelf.core.limits import const
+from agateshelf.core.limits import models
+from agateshelf.core.limits import queueing
+
+
+def ticket(call, service, caller, *, claims=False):
+    return models.Ticket(call, service, caller, claims, 10.0, float(call), None)
+
+
+def popped(queue, count, *, may_claim=True):
+    return [
+        queueing.pop(queue, may_claim=may_claim).caller for _ in range(count)
+    ]
+
+
+def test_callers_take_turns_by_weight():
+    shares = (configuration_models.CallerShare("big", 3.0, None),)
+    service = scenes.create_service(callers=shares)
+    queue = models.create_queue()
+    for call in range(40):
+        queueing.push(queue, ticket(call, service, "big"), 0.0)
+    for call in range(40, 80):
+        queueing.push(queue, ticket(call, service, "small"), 0.0)
+    counts = collections.Counter(popped(queue, 40))
+    assert counts == {"big": 30, "small": 10}
+
+
+def test_flood_delays_no_other_caller():
+    service = scenes.create_service()
+    queue = models.create_queue()
+    for call in range(100):
+        queueing.push(queue, ticket(call, service, "flood"), 0.0)
+    popped(queue, 10)
+    queueing.push(queue, ticket(200, service, "clerk"), 0.0)
+    assert "clerk" in popped(queue, 2)
+
+
+def test_lower_class_is_never_starved():
+    urgent = scenes.create_service(
+        "grades", priority=configuration_models.Priority.URGENT
+    )
+    pulls = scenes.create_service(
+        "pulls", priority=configuration_models.Priority.BACKGROUND
+    )
+    queue = models.create_queue()
+    for call in range(100):
+        queueing.push(queue, ticket(call, urgent, "clerk"), 0.0)
+        queueing.push(queue, ticket(call, pulls, "auditor"), 0.0)
+    callers = popped(queue, 2 * const.GUARD_RELEASES)
+    assert callers.count("auditor") == 2
+
+
+def test_calls_without_a_claim_pass_those_that_wait_for_claims():
+    service = scenes.create_service()
+    queue = models.create_queue()
+    queueing.push(queue, ticket(1, service, "yard", claims=True), 0.0)
+    queueing.push(queue, ticket(2, service, "yard"), 0.0)
+    assert queueing.pop(queue, may_claim=False).call == 2
+    assert queueing.pop(queue, may_claim=False) is None
+    assert queueing.pop(queue, may_claim=True).call == 1
+    assert queue.length == 0
