--- a/src/agateshelf/cli/configuration.py
+++ b/src/agateshelf/cli/configuration.py
@@ -131,7 +131,7 @@
 @click.option("--seconds", default=20.0, show_default=True)
 @click.pass_obj
 def wait(admin: client.Administration, version: int, seconds: float) -> None:
-    """Wait until every entry heard of has a version in force."""
+    """Wait until every entry has a version in force; show who was silent."""
     end = time.monotonic() + seconds
     while True:
         rows = output.ask(admin, "GET", "/entries")
@@ -140,16 +140,8 @@
             break
         time.sleep(_POLL_SECONDS)
     output.show_rows(
-        ("ENTRY", "STATE", "VERSION", "HEARD"),
-        [
-            (
-                row["entry"],
-                row["state"],
-                row["version"],
-                f"{row['heard_seconds']:.1f} s ago",
-            )
-            for row in rows
-        ],
+        ("ENTRY", "STATE", "VERSION"),
+        [(row["entry"], row["state"], row["version"]) for row in rows],
     )
     if missing:
         names = ", ".join(row["entry"] for row in missing)
@@ -157,7 +149,7 @@
 
 
 def _has(row: dict[str, Any], version: int) -> bool:
-    return row["state"] != "live" or int(row["version"]) >= version
+    return row["version"] is not None and int(row["version"]) >= version
 
 
 @click.command()
--- a/src/agateshelf/daemon/administration/models.py
+++ b/src/agateshelf/daemon/administration/models.py
@@ -15,17 +15,16 @@
 
 
 class EntryStatus(msgspec.Struct):
-    """What an entry has heard of another entry.
+    """What an entry says, or does not say, of its configuration.
 
     Attributes:
-        version: Configuration version it said is in force there.
-        heard_seconds: Seconds since it was last heard of.
+        state: `heard`, or `silent` if it should be there and did not answer.
+        version: Version in force there; None if it was not heard.
     """
 
     entry: str
     state: str
-    version: int
-    heard_seconds: float
+    version: int | None
 
 
 class PatchStatus(msgspec.Struct, omit_defaults=True):
@@ -33,7 +32,8 @@
 
     Attributes:
         patch_id: Identifier of the patch.
-        result: `accepted`, `version-moved`, `refused` or `not-known-yet`.
+        result: `accepted`, `version-moved`, `refused`, `not-found` or
+            `not-known-yet`.
         version: The version it became, or the present one.
         detail: What was wrong with it, or how to ask again.
     """
--- a/src/agateshelf/daemon/administration/routes.py
+++ b/src/agateshelf/daemon/administration/routes.py
@@ -5,35 +5,15 @@
 import http
 import urllib.parse
 
-from agateshelf.daemon import driver as daemon_driver
-from agateshelf.daemon import messages
-from agateshelf.daemon.administration import authorization
+from agateshelf.daemon.administration import changes
+from agateshelf.daemon.administration import question
 from agateshelf.daemon.administration import replies
 from agateshelf.daemon.administration import reports
 from agateshelf.daemon.callers import problems
 from agateshelf.documents import teams
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Question:
-    """One request to the administration API.
-
-    Attributes:
-        driver: The driver of this entry.
-        speaker: Whoever asks.
-        request: The request.
-        rest: What of the path follows the route.
-        query: The decoded query.
-    """
-
-    driver: daemon_driver.Driver
-    speaker: authorization.Speaker
-    request: messages.Request
-    rest: str
-    query: abc.Mapping[str, str]
-
-
-Handler = abc.Callable[[Question], abc.Awaitable[problems.Reply]]
+Handler = abc.Callable[[question.Question], abc.Awaitable[problems.Reply]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,18 +41,23 @@
         return path == self.path
 
 
-async def _status(question: Question) -> problems.Reply:
-    return replies.reply(http.HTTPStatus.OK, reports.status(question.driver))
+async def _status(asked: question.Question) -> problems.Reply:
+    return replies.reply(http.HTTPStatus.OK, reports.status(asked.driver))
 
 
-async def _targets(question: Question) -> problems.Reply:
-    rows = reports.targets(question.driver)
+async def _targets(asked: question.Question) -> problems.Reply:
+    rows = reports.targets(asked.driver)
     return replies.reply(http.HTTPStatus.OK, rows)
 
 
 ROUTES = (
     Route("GET", "/status", teams.Right.READ, _status),
     Route("GET", "/targets", teams.Right.READ, _targets),
+    Route("GET", "/entries", teams.Right.READ, changes.entries),
+    Route("GET", "/config", teams.Right.READ, changes.show),
+    Route("PATCH", "/config", teams.Right.CHANGE, changes.patch),
+    Route("GET", "/config/history", teams.Right.READ, changes.history),
+    Route("GET", "/config/patches/", teams.Right.READ, changes.lookup),
 )
 
 
--- a/src/agateshelf/daemon/administration/server.py
+++ b/src/agateshelf/daemon/administration/server.py
@@ -11,6 +11,7 @@
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import messages
 from agateshelf.daemon.administration import authorization
+from agateshelf.daemon.administration import question
 from agateshelf.daemon.administration import replies
 from agateshelf.daemon.administration import reports
 from agateshelf.daemon.administration import routes
@@ -95,8 +96,8 @@
                 f"{speaker.right}",
             )
         rest = path[len(route.path) :]
-        question = routes.Question(self.driver, speaker, request, rest, query)
-        return await route.handler(question)
+        asked = question.Question(self.driver, speaker, request, rest, query)
+        return await route.handler(asked)
 
     def _open_reply(self, path: str) -> problems.Reply | None:
         if path == "/health":
--- /dev/null
+++ b/tests/daemon/administration/test_api.py
@@ -0,0 +1,156 @@
+"""The administration API of a real entry, asked as operators ask it."""
+
+import concurrent.futures
+import hashlib
+import json
+
+import pytest
+
+from agateshelf_standins import system
+
+ROOT_TOKEN = "root-token-of-the-platform"
+TEAM_TOKEN = "change-token-of-harborline"
+PATCH_TYPE = "application/json-patch+json"
+
+
+def digest(token):
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def team(token, right):
+    row = {"name": "desk", "sha256": digest(token), "right": right}
+    return {"tokens": [row]}
+
+
+SERVICE = {"team": "harborline", "prefix": "/recall/"}
+FIRST = [
+    {
+        "op": "add",
+        "path": "/teams/platform",
+        "value": team(ROOT_TOKEN, "administer"),
+    },
+    {
+        "op": "add",
+        "path": "/teams/harborline",
+        "value": team(TEAM_TOKEN, "change"),
+    },
+    {"op": "add", "path": "/teams/tsagaan", "value": {}},
+    {"op": "add", "path": "/services/recall", "value": SERVICE},
+    {
+        "op": "add",
+        "path": "/services/grades",
+        "value": {"team": "tsagaan", "prefix": "/grades/"},
+    },
+]
+
+
+def timeout_of(service, seconds):
+    return [
+        {
+            "op": "add",
+            "path": f"/services/{service}/timeout",
+            "value": seconds,
+        }
+    ]
+
+
+@pytest.fixture
+def admin(running):
+    store = running.start_stand_in("store", "--port", "0")
+    instances = running.start_stand_in("instances", "--port", "0")
+    settings = {
+        "entry": "entry-0",
+        "failure_domain": "boston",
+        "callers": {"port": system.free_port()},
+        "administration": {
+            "port": system.free_port(),
+            "token_sha256": [digest(ROOT_TOKEN)],
+        },
+        "platform": {
+            "store": store.address,
+            "instances": instances.address,
+        },
+    }
+    entry = running.start_entry(settings)
+    assert submit(entry.admin, FIRST, 0, "first")[0] == 200
+    return entry.admin
+
+
+def submit(address, operations, version, patch_id, token=ROOT_TOKEN):
+    headers = {
+        "Content-Type": PATCH_TYPE,
+        "If-Match": f'"{version}"',
+        "Patch-Id": patch_id,
+        "Patch-Reason": "a test",
+        "Authorization": f"Bearer {token}",
+    }
+    body = json.dumps(operations).encode()
+    return system.request(address, "PATCH", "/config", body, headers)
+
+
+def ask(address, path, token=ROOT_TOKEN):
+    headers = {"Authorization": f"Bearer {token}"}
+    status, body = system.request(address, "GET", path, None, headers)
+    return status, json.loads(body)
+
+
+def test_operators_racing_on_a_version_have_one_winner(admin):
+    def race(number):
+        return submit(
+            admin, timeout_of("recall", 1 + number), 1, f"race-{number}"
+        )
+
+    with concurrent.futures.ThreadPoolExecutor(20) as pool:
+        statuses = [status for status, _ in pool.map(race, range(20))]
+    assert sorted(statuses) == [200] + [412] * 19
+    winner = statuses.index(200)
+    _, document = ask(admin, "/config")
+    assert document["version"] == 2
+    assert document["services"]["recall"]["timeout"] == 1 + winner
+
+
+def test_the_same_patch_again_is_recognised_and_found(admin):
+    assert submit(admin, timeout_of("recall", 3), 1, "mine")[0] == 200
+    status, body = submit(admin, timeout_of("recall", 3), 1, "mine")
+    assert (status, json.loads(body)["version"]) == (200, 2)
+    assert ask(admin, "/config/patches/mine")[1]["result"] == "accepted"
+    assert ask(admin, "/config/patches/nobodys")[0] == 404
+    _, changes = ask(admin, "/config/history")
+    assert [change["patch_id"] for change in changes] == ["mine", "first"]
+    assert changes[0]["author"] == "operators/settings"
+    assert changes[0]["reason"] == "a test"
+
+
+def test_a_team_changes_its_own_service_only(admin):
+    own = submit(admin, timeout_of("recall", 3), 1, "own", TEAM_TOKEN)
+    assert own[0] == 200
+    other = submit(admin, timeout_of("grades", 3), 2, "other", TEAM_TOKEN)
+    assert other[0] == 403
+    assert b"belongs to team tsagaan" in other[1]
+
+
+def test_an_unknown_token_reads_and_changes_nothing(admin):
+    assert ask(admin, "/config", "guess")[0] == 401
+    assert submit(admin, timeout_of("recall", 3), 1, "x", "guess")[0] == 401
+
+
+def test_a_team_sees_no_digests(admin):
+    assert ask(admin, "/config", TEAM_TOKEN)[1]["teams"] == {}
+
+
+@pytest.mark.parametrize(
+    ("operations", "status", "says"),
+    [
+        ([{"op": "add"}], 422, "/0"),
+        ([{"op": "remove", "path": "/services/nothing"}], 422, "nothing"),
+        (timeout_of("recall", -1), 422, "/services/recall/timeout"),
+        ({"op": "add"}, 422, "list of operations"),
+        ([{"op": "replace", "path": "", "value": 1}], 422, "an object"),
+        ([{"op": "add", "path": "/version", "value": 9}], 422, "/version"),
+    ],
+)
+def test_a_bad_patch_names_what_is_wrong(admin, operations, status, says):
+    answer = submit(admin, operations, 1, "bad")
+    assert answer[0] == status
+    assert says in json.loads(answer[1])["error"]
+    assert ask(admin, "/config")[1]["version"] == 1
