--- a/src/agateshelf/daemon/administration/changes.py
+++ b/src/agateshelf/daemon/administration/changes.py
@@ -4,14 +4,15 @@
 import http
 import re
 import time
-import uuid
 from typing import Any
+import uuid
 
 import msgspec
 
 from agateshelf import exceptions
 from agateshelf.core import effects
 from agateshelf.core import events
+from agateshelf.core.configuration import content
 from agateshelf.core.configuration import results
 from agateshelf.daemon import messages
 from agateshelf.daemon.administration import models
@@ -120,8 +121,7 @@
             for entry in answer.heard
         )
         rows.extend(
-            models.EntryStatus(entry, "silent", None)
-            for entry in answer.silent
+            models.EntryStatus(entry, "silent", None) for entry in answer.silent
         )
     return replies.reply(http.HTTPStatus.OK, rows)
 
@@ -193,7 +193,7 @@
 
 def _apply(
     asked: question.Question, sent: Patch
-) -> tuple[configuration.Part, ...] | None:
+) -> tuple[content.Part, ...] | None:
     """Return the new content whole, or None if the base is not in force."""
     written = _written(asked)
     if written["version"] != sent.base_version:
--- a/src/agateshelf/daemon/administration/question.py
+++ b/src/agateshelf/daemon/administration/question.py
@@ -1,7 +1,7 @@
 """One request to the administration API, with whoever asks."""
 
-import dataclasses
 from collections import abc
+import dataclasses
 
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import messages
--- a/src/agateshelf/daemon/administration/routes.py
+++ b/src/agateshelf/daemon/administration/routes.py
@@ -12,7 +12,6 @@
 from agateshelf.daemon.callers import problems
 from agateshelf.documents import teams
 
-
 Handler = abc.Callable[[question.Question], abc.Awaitable[problems.Reply]]
 
 
--- a/src/agateshelf_standins/system.py
+++ b/src/agateshelf_standins/system.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -88,6 +89,7 @@
             [*command, *options],
             stdout=subprocess.PIPE,
             text=True,
+            env=_environment(),
         )
         process = Process(module, popen, "")
         self.processes.append(process)
@@ -110,6 +112,7 @@
                 str(path),
             ],
             text=True,
+            env=_environment(),
         )
         callers = settings["callers"]
         admin = settings["administration"]
@@ -127,6 +130,12 @@
             process.stop()
 
 
+def _environment() -> dict[str, str]:
+    """Return an environment whose Python runs the code of this very tree."""
+    source = pathlib.Path(__file__).resolve().parent.parent
+    return {**os.environ, "PYTHONPATH": str(source)}
+
+
 def create_system() -> System:
     """Create a system with no process yet."""
     return System(pathlib.Path(tempfile.mkdtemp(prefix="agateshelf-")))
--- a/tests/daemon/administration/test_api.py
+++ b/tests/daemon/administration/test_api.py
@@ -56,6 +56,18 @@
 
 @pytest.fixture
 def admin(running):
+    return start_administered_entry(running)
+
+
+@pytest.fixture(scope="module")
+def unchanged_admin():
+    """The API of an entry shared by tests that change nothing."""
+    processes = system.create_system()
+    yield start_administered_entry(processes)
+    processes.stop()
+
+
+def start_administered_entry(running):
     store = running.start_stand_in("store", "--port", "0")
     instances = running.start_stand_in("instances", "--port", "0")
     settings = {
@@ -72,7 +84,8 @@
         },
     }
     entry = running.start_entry(settings)
-    assert submit(entry.admin, FIRST, 0, "first")[0] == 200
+    begun = submit(entry.admin, FIRST, 0, "first")
+    assert begun[0] == 200, begun
     return entry.admin
 
 
@@ -129,13 +142,16 @@
     assert b"belongs to team tsagaan" in other[1]
 
 
-def test_an_unknown_token_reads_and_changes_nothing(admin):
-    assert ask(admin, "/config", "guess")[0] == 401
-    assert submit(admin, timeout_of("recall", 3), 1, "x", "guess")[0] == 401
+def test_an_unknown_token_reads_and_changes_nothing(unchanged_admin):
+    assert ask(unchanged_admin, "/config", "guess")[0] == 401
+    assert (
+        submit(unchanged_admin, timeout_of("recall", 3), 1, "x", "guess")[0]
+        == 401
+    )
 
 
-def test_a_team_sees_no_digests(admin):
-    assert ask(admin, "/config", TEAM_TOKEN)[1]["teams"] == {}
+def test_a_team_sees_no_digests(unchanged_admin):
+    assert ask(unchanged_admin, "/config", TEAM_TOKEN)[1]["teams"] == {}
 
 
 @pytest.mark.parametrize(
@@ -149,8 +165,10 @@
         ([{"op": "add", "path": "/version", "value": 9}], 422, "/version"),
     ],
 )
-def test_a_bad_patch_names_what_is_wrong(admin, operations, status, says):
-    answer = submit(admin, operations, 1, "bad")
+def test_a_bad_patch_names_what_is_wrong(
+    unchanged_admin, operations, status, says
+):
+    answer = submit(unchanged_admin, operations, 1, "bad")
     assert answer[0] == status
     assert says in json.loads(answer[1])["error"]
-    assert ask(admin, "/config")[1]["version"] == 1
+    assert ask(unchanged_admin, "/config")[1]["version"] == 1
