--- a/script/demo.py
+++ b/script/demo.py
@@ -31,6 +31,9 @@
   curl http://127.0.0.1:8081/ready
   .venv/bin/agateshelf status
   .venv/bin/agateshelf targets
+  .venv/bin/agateshelf config history
+  .venv/bin/agateshelf drain dealer-feeds dealer-feeds-0
+  .venv/bin/agateshelf config wait 2
 
 The second entry takes callers on 127.0.0.1:8082. Ctrl-C stops everything.
 """
@@ -88,6 +91,7 @@
     platform = {"store": store.address, "instances": instances.address}
     first = entry_settings(0, CALLERS_PORT, ADMIN_PORT, platform)
     second = entry_settings(1, SECOND_CALLERS_PORT, SECOND_ADMIN_PORT, platform)
+    system.connect_peers([first, second])
     for settings in (first, second):
         entry = running.start_entry(settings)
         system.wait_for(entry.admin, "/ready", entry.process.popen)
--- a/src/agateshelf_standins/system.py
+++ b/src/agateshelf_standins/system.py
@@ -17,6 +17,8 @@
 import urllib.error
 import urllib.request
 
+import zmq
+
 from agateshelf.core.configuration import content
 from agateshelf.core.configuration import records
 from agateshelf.documents import configuration
@@ -130,6 +132,37 @@
             process.stop()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Keys:
+    """The system's key pair, shared by all its entries."""
+
+    public: str
+    secret: str
+
+
+def create_keys() -> Keys:
+    """Create the key pair of a system."""
+    public, secret = zmq.curve_keypair()
+    return Keys(public.decode(), secret.decode())
+
+
+def connect_peers(settings: list[dict[str, Any]]) -> None:
+    """Add to entries' settings what lets them speak to each other."""
+    keys = create_keys()
+    seeds = [
+        {"entry": one["entry"], "address": f"127.0.0.1:{free_port()}"}
+        for one in settings
+    ]
+    for one, seed in zip(settings, seeds, strict=True):
+        port = int(seed["address"].rpartition(":")[2])
+        one["peers"] = {
+            "listen": {"port": port},
+            "public_key": keys.public,
+            "secret_key": keys.secret,
+            "seeds": [other for other in seeds if other is not seed],
+        }
+
+
 def _environment() -> dict[str, str]:
     """Return an environment whose Python runs the code of this very tree."""
     source = pathlib.Path(__file__).resolve().parent.parent
