--- a/bench/bookings_world.py
+++ b/bench/bookings_world.py
@@ -80,6 +80,7 @@
         late_store_writes: Of these, those that take effect after a while.
         lost_peer_messages: Messages between entries that are lost.
         cut_answers: Attempts that run and whose answer is cut.
+        silent: Attempts that run and are never answered.
         refused: Attempts that targets refuse with the mark.
     """
 
@@ -87,6 +88,7 @@
     late_store_writes: float = 0.0
     lost_peer_messages: float = 0.0
     cut_answers: float = 0.0
+    silent: float = 0.0
     refused: float = 0.0
 
 
@@ -418,6 +420,8 @@
             return
         key = copy.booking.key
         self.ledger.append(Run(key, copy.number, self.now))
+        if self._chance(self.faults.silent):
+            return
         done = self.now + self.rng.uniform(0.005, 0.030) + _HOP_SECONDS
         if self._chance(self.faults.cut_answers):
             failed = events.AttemptFailed(
--- a/tests/core/claims/machine.py
+++ b/tests/core/claims/machine.py
@@ -1,8 +1,11 @@
 """A state machine of callers, entries and faults, held against the ledger."""
 
+from unittest import mock
+
 from hypothesis import strategies as st
 import hypothesis.stateful
 
+from agateshelf.core.claims import const
 from bench import bookings_world
 
 ENTRIES = 3
@@ -10,6 +13,9 @@
 # A careful caller sends a key again only well within its lifetime.
 RESEND_WITHIN_SECONDS = 40.0
 
+# So small that a few bookings spill a head into a segment.
+SPILL_BYTES = 400
+
 CLEAN = bookings_world.Judgement(0, 0, 0, 0)
 
 
@@ -21,6 +27,12 @@
         service = bookings_world.create_service(claim_lifetime=LIFETIME_SECONDS)
         self.world = bookings_world.World(ENTRIES, seed, service=service)
         self.sent = []
+        self.spilling = mock.patch.object(const, "SPILL_BYTES", SPILL_BYTES)
+        self.spilling.start()
+
+    def teardown(self):
+        if hasattr(self, "spilling"):
+            self.spilling.stop()
 
     def entry(self, index):
         live = self.world.live()
@@ -73,6 +85,10 @@
     def cut_answers(self, share):
         self.world.faults.cut_answers = share
 
+    @hypothesis.stateful.rule(share=st.sampled_from([0.0, 0.5]))
+    def silence_targets(self, share):
+        self.world.faults.silent = share
+
     @hypothesis.stateful.rule(share=st.sampled_from([0.0, 0.5]))
     def refuse_at_targets(self, share):
         self.world.faults.refused = share
--- a/tests/core/claims/test_claims.py
+++ b/tests/core/claims/test_claims.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from agateshelf.core.claims import const
 from agateshelf.core.configuration import models
 from bench import bookings_world
 
@@ -211,3 +212,72 @@
     world.send(booking)
     world.run(201.0)
     assert len(world.ledger) == 2
+
+
+@pytest.fixture
+def small_heads(monkeypatch):
+    """Spill heads early, so that segments carry most records."""
+    monkeypatch.setattr(const, "SPILL_BYTES", 400)
+
+
+def keep_busy(world, entry, until):
+    """Have an entry take other bookings, so that heads are spilled."""
+    while world.now < until:
+        for _ in range(10):
+            world.book(f"other-{world.rng.random()}", entry)
+        world.run(world.now + 1.0)
+
+
+@pytest.mark.usefixtures("small_heads")
+def test_segments_tell_a_new_entry_what_was_claimed():
+    world = bookings_world.World(2, seed=3)
+    bookings = [world.book(f"k{n}") for n in range(60)]
+    world.run(10.0)
+    keep_busy(world, world.entries["e0"], 40.0)
+    world.replace(world.entries["e0"])
+    world.replace(world.entries["e1"])
+    world.run(45.0)
+    for booking in bookings:
+        world.send(booking)
+    world.run(50.0)
+    assert {b.copies[1].word for b in bookings} == {"ok"}
+    assert bookings_world.judge(world) == CLEAN
+
+
+@pytest.mark.usefixtures("small_heads")
+def test_a_claim_is_not_used_after_a_pause_that_outlasts_it():
+    world = bookings_world.World(2, seed=5)
+    first, second = two_entries(world)
+    booking = world.book("k", first)
+    world.run(0.0052)
+    world.pause(first, 300.0)
+    keep_busy(world, second, 290.0)
+    world.send(booking, second)
+    world.run(310.0)
+    assert words(booking)[1] == "ok"
+    assert bookings_world.judge(world) == CLEAN
+
+
+@pytest.mark.usefixtures("small_heads")
+def test_a_request_that_waited_through_a_pause_is_not_run():
+    world = bookings_world.World(2, seed=5)
+    first, second = two_entries(world)
+    world.pause(first, 300.0)
+    booking = world.book("k", first)
+    world.send(booking, second)
+    keep_busy(world, second, 290.0)
+    world.run(310.0)
+    assert words(booking) == ["silence", "ok"]
+    assert bookings_world.judge(world) == CLEAN
+
+
+def test_an_attempt_cancelled_at_the_deadline_may_have_run():
+    faults = bookings_world.Faults(silent=1.0)
+    world = bookings_world.World(1, seed=1, faults=faults)
+    booking = world.book("k")
+    world.run(2.5)
+    faults.silent = 0.0
+    world.send(booking)
+    world.run(5.0)
+    assert words(booking) == ["unknown", "unknown-final"]
+    assert len(world.ledger) == 1
