--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,38 @@
+"""Measure how costs grow and write them beside docs/CAPACITY.md."""
+
+import dataclasses
+import json
+import pathlib
+import sys
+
+from bench import fitting
+from bench import slopes_core
+from bench import slopes_live
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DATA = ROOT / "docs" / "capacity-slopes.json"
+
+
+def show(slope: fitting.Slope) -> None:
+    """Print one slope as a row of the table."""
+    points = ", ".join(
+        f"{point.size:g}: {point.cost:.2f}" for point in slope.points
+    )
+    print(
+        f"{slope.name:<24} {slope.slope:>12.5f} {slope.cost_unit} for each "
+        f"{slope.size_unit}, base {slope.base:.3f}  [{points}]"
+    )
+
+
+def main() -> int:
+    """Measure, print and write all slopes."""
+    slopes = [*slopes_core.run(), *slopes_live.run()]
+    for slope in slopes:
+        show(slope)
+    rows = [dataclasses.asdict(slope) for slope in slopes]
+    DATA.write_text(json.dumps(rows, indent=1) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/slopes_live.py
@@ -0,0 +1,121 @@
+"""Slopes of a real entry process on loopback."""
+
+import contextlib
+import os
+import pathlib
+import socket
+import time
+
+from agateshelf_standins import system
+from bench import fitting
+
+_CALL_COUNTS = (500, 1000, 2000, 3000)
+_CONNECTION_COUNTS = (0, 100, 200, 400)
+_SETTLE_SECONDS = 0.5
+_KIBIBYTE = 1024.0
+_READ_BYTES = 65536
+_ENTRY_LIMITS = {"connections": 1000}
+_REQUEST = b"GET /recall/1 HTTP/1.1\r\nHost: bench\r\n\r\n"
+
+
+def start(running: system.System) -> system.Entry:
+    """Start a store, an instance list, a target and an entry."""
+    store = running.start_stand_in("store", "--port", "0")
+    instances = running.start_stand_in("instances", "--port", "0")
+    target = running.start_stand_in(
+        "target", "--port", "0", "--id", "t0", "--service-ms", "0"
+    )
+    row = {"id": "t0", "address": target.address, "failure_domain": "boston"}
+    service = {"team": "harborline", "prefix": "/recall/", "targets": [row]}
+    system.put_configuration(
+        store.address, {"services": {"recall-lookups": service}}
+    )
+    entry = running.start_entry(
+        {
+            "entry": "entry-0",
+            "failure_domain": "boston",
+            "callers": {"port": system.free_port()},
+            "administration": {"port": system.free_port()},
+            "platform": {
+                "store": store.address,
+                "instances": instances.address,
+            },
+            "limits": _ENTRY_LIMITS,
+        }
+    )
+    system.wait_for(entry.admin, "/ready", entry.process.popen)
+    return entry
+
+
+def processor_seconds(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
+    user, kernel = fields.split()[11:13]
+    return (int(user) + int(kernel)) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
+    return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
+
+def connect(entry: system.Entry) -> socket.socket:
+    """Open a caller's connection to an entry."""
+    host, _, port = entry.process.address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout=10.0)
+
+
+def call(sock: socket.socket) -> None:
+    """Send one lookup and read its whole answer."""
+    sock.sendall(_REQUEST)
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += sock.recv(_READ_BYTES)
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = int(
+        head.lower().partition(b"content-length:")[2].split(b"\r\n")[0]
+    )
+    while len(body) < length:
+        body += sock.recv(_READ_BYTES)
+
+
+def calls(entry: system.Entry) -> fitting.Slope:
+    """Measure processor time for each call through the entry."""
+    pid = entry.process.popen.pid
+    points = []
+    with contextlib.closing(connect(entry)) as sock:
+        call(sock)
+        for count in _CALL_COUNTS:
+            before = processor_seconds(pid)
+            for _ in range(count):
+                call(sock)
+            spent = processor_seconds(pid) - before
+            points.append(fitting.Point(count, spent * 1000.0))
+    return fitting.fit("entry/processor", "calls", "ms", points)
+
+
+def connections(entry: system.Entry) -> fitting.Slope:
+    """Measure resident memory for each kept caller's connection."""
+    pid = entry.process.popen.pid
+    points = []
+    with contextlib.ExitStack() as stack:
+        held = 0
+        for count in _CONNECTION_COUNTS:
+            for _ in range(count - held):
+                sock = stack.enter_context(contextlib.closing(connect(entry)))
+                call(sock)
+            held = count
+            time.sleep(_SETTLE_SECONDS)
+            points.append(fitting.Point(count, resident_bytes(pid) / _KIBIBYTE))
+    return fitting.fit("entry/memory", "connections", "KiB", points)
+
+
+def run() -> list[fitting.Slope]:
+    """Measure all slopes of a real entry."""
+    running = system.create_system()
+    try:
+        entry = start(running)
+        return [calls(entry), connections(entry)]
+    finally:
+        running.stop()
