Share callers' rates between entries by loans; scale limits to the entries

A caller's rate holds over all entries, but the balancer spreads its calls unevenly and no request may cost a store call. Each entry owns rate / entries and takes from a bucket. An entry that is short asks all others, at most four times a second and in one batched message; each lends what it does not need for a second. At once no more than max(1, 0.25 s of the allowance) per entry comes on top.

Ruled out: gossiped counters of use. Each entry would act on what the others did a message ago, so entries whose load rises together overspend by up to rate * entries until they hear of each other; no bound but the delay's.

Callers that a service does not list share one class, so a caller gains nothing by changing names. The limits in flight now start at the entry's part of the slots and are scaled at once when entries come or go. The usual latency is learnt only from answers of targets that do not queue: learnt from all, it grew with the overload and with it the time that calls might wait.

--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -230,6 +230,11 @@
     service: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoansDue:
+    """Time to ask other entries for parts of rates (timer)."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitEnded:
     """A call has waited for a free target as long as it may (timer)."""
@@ -436,6 +441,7 @@
     | ClaimsDue
     | ClaimsBeat
     | SlotFreed
+    | LoansDue
     | WaitEnded
     | StoreAnswered
     | PeerSpoke
--- a/src/agateshelf/core/limits/admission.py
+++ b/src/agateshelf/core/limits/admission.py
@@ -10,11 +10,14 @@
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
 from agateshelf.core.calls import models as call_models
+from agateshelf.core.limits import callers
 from agateshelf.core.limits import const
 from agateshelf.core.limits import latency
+from agateshelf.core.limits import lending
 from agateshelf.core.limits import models
 from agateshelf.core.limits import pools
 from agateshelf.core.limits import queueing
+from agateshelf.core.limits import rates
 from agateshelf.core.limits import refusals
 from agateshelf.core.limits import window
 from agateshelf.core.outcomes import models as outcome_models
@@ -22,16 +25,16 @@
 
 Effects = list[effects.Effect]
 
-_ENTRIES = 1
-
 
 def admit(state: core_state.State, now: float, call: call_models.Call) -> None:
     """Let a new call pass, have it wait, or reject it; by internal events."""
     pool = state.limits.pools[call.service.name]
+    standing = callers.standing_of(state.limits, call.service.name, call.caller)
     ticket = models.Ticket(
         call=call.number,
         service=call.service,
-        caller=call.caller,
+        caller=standing.share,
+        weight=standing.weight,
         claims=not call.idempotent,
         deadline=call.deadline,
         arrived=now,
@@ -39,6 +42,8 @@
     )
     state.limits.tickets[call.number] = ticket
     reason = _refusal_reason(state, now, ticket)
+    if state.limits.rates.wanting:
+        lending.plan_request(state, now)
     if reason is not None:
         _reject(state, ticket, reason)
         return
@@ -48,12 +53,22 @@
     _wait(state, now, ticket)
 
 
-def adopt_configuration(state: core_state.State) -> None:
+def adopt_configuration(state: core_state.State, now: float) -> None:
     """Follow the configuration that has just come into force."""
-    pools.adopt_configuration(state.limits, state.cfg, _ENTRIES)
+    pools.adopt_configuration(state.limits, state.cfg)
+    callers.adopt_configuration(state.limits, state.cfg)
+    rates.adopt_standings(state.limits, now)
     budget.forget_others(state.retries, state.cfg.services)
 
 
+def adopt_entries(
+    state: core_state.State, now: float, event: events.EntriesSeen
+) -> None:
+    """Follow the list of live entries: each has its part of every limit."""
+    lending.adopt_entries(state, now, event)
+    pools.adopt_entries(state.limits, max(1, len(event.entries)))
+
+
 def on_answer(
     state: core_state.State,
     now: float,
@@ -70,7 +85,8 @@
         return
     seconds = now - attempt.started
     window.on_answer(ticket.pool, attempt.target, seconds, event.load)
-    latency.learn(ticket.pool, seconds)
+    if event.load is None or event.load.queued == 0:
+        latency.learn(ticket.pool, seconds)
 
 
 def on_failure(
@@ -146,6 +162,9 @@
         return const.REASON_ENTRY_FULL
     if now + ticket.pool.median >= ticket.deadline:
         return const.REASON_TOO_LATE
+    key = (ticket.service.name, ticket.caller)
+    if not rates.take(state.limits.rates, key, now):
+        return const.REASON_RATE
     return None
 
 
--- a/src/agateshelf/core/limits/const.py
+++ b/src/agateshelf/core/limits/const.py
@@ -3,11 +3,11 @@
 from typing import Final
 
 # Attempts in flight per target that this entry allows itself.
-FIRST_LIMIT_FACTOR: Final = 2.0
+FIRST_LIMIT_FACTOR: Final = 8.0
 MOST_LIMIT_FACTOR: Final = 4.0
 LEAST_LIMIT: Final = 0.05
 LIMIT_GROWTH: Final = 0.1
-LIMIT_SHRINK: Final = 0.9
+LIMIT_SHRINK: Final = 0.95
 LIMIT_SHRINK_REFUSED: Final = 0.7
 LEAST_WINDOW: Final = 1.0
 
@@ -38,6 +38,21 @@
 MOST_CALLS_PER_ENTRY: Final = 800
 CLASS_SHARES: Final = (1.0, 0.85, 0.5)
 
+# Parts of a caller's rate. An entry that has heard of no others assumes many.
+ASSUMED_ENTRIES: Final = 16
+RATE_BURST_SECONDS: Final = 0.25
+RATE_BURST_LEAST: Final = 1.0
+DEMAND_SECONDS: Final = 0.5
+DEMAND_HEADROOM: Final = 1.25
+KEPT_SHARE: Final = 0.1
+LOAN_SECONDS: Final = 1.0
+LOAN_MARGIN_SECONDS: Final = 0.05
+ASK_BATCH_SECONDS: Final = 0.01
+ASK_SECONDS: Final = 0.25
+ASKED_OF_EACH: Final = 2.0
+WANTS_PER_MESSAGE: Final = 50
+SHARE_OF_OTHERS: Final = "default"
+
 RETRY_AFTER_SECONDS: Final = 1.0
 RETRY_AFTER_JITTER: Final = 0.5
 
--- a/src/agateshelf/core/limits/pools.py
+++ b/src/agateshelf/core/limits/pools.py
@@ -9,9 +9,7 @@
 
 
 def adopt_configuration(
-    limits: models.LimitsState,
-    cfg: configuration_models.Configuration,
-    entries: int,
+    limits: models.LimitsState, cfg: configuration_models.Configuration
 ) -> None:
     """Follow a new configuration, keeping what is known of targets.
 
@@ -23,13 +21,23 @@
         known = limits.pools.get(group[0].name)
         if known is None or known.services != names:
             known = models.Pool(names, {}, 0.0, models.create_queue())
-        _follow_targets(known, group, entries)
+        _follow_targets(known, group, limits.entries)
         for name in names:
             pools[name] = known
     limits.pools = pools
     _move_waiting(limits)
 
 
+def adopt_entries(limits: models.LimitsState, entries: int) -> None:
+    """Scale the limits when the number of entries has changed."""
+    if entries == limits.entries:
+        return
+    factor = limits.entries / entries
+    limits.entries = entries
+    for pool in {id(pool): pool for pool in limits.pools.values()}.values():
+        window.scale(pool, factor)
+
+
 def _move_waiting(limits: models.LimitsState) -> None:
     """Move the calls that wait in a replaced pool to the one in its place."""
     for ticket in limits.tickets.values():
@@ -81,5 +89,4 @@
                 window.first_limit(service.slots, entries), service.slots
             )
     pool.targets = targets
-    pool.full &= targets.keys()
     pool.window = sum(known.limit for known in targets.values())
--- a/src/agateshelf/core/limits/queueing.py
+++ b/src/agateshelf/core/limits/queueing.py
@@ -62,7 +62,7 @@
     It is the newest of the flow that is longest for its weight, the arriving
     call counted in.
     """
-    longest = _weighted_length(queue, ticket) + 1 / _weight_of(ticket)
+    longest = _weighted_length(queue, ticket) + 1 / ticket.weight
     chosen = ticket
     for flow in queue.classes[ticket.service.priority].values():
         if flow.service != ticket.service.name:
@@ -116,8 +116,7 @@
     key = (ticket.service.name, ticket.caller)
     flow = flows.get(key)
     if flow is None:
-        weight = _weight_of(ticket)
-        flow = models.Flow(*key, weight, queue.passed)
+        flow = models.Flow(*key, ticket.weight, queue.passed)
         flows[key] = flow
     return flow
 
@@ -140,13 +139,6 @@
     return (len(flow.plain) + len(flow.claiming)) / flow.weight
 
 
-def _weight_of(ticket: models.Ticket) -> float:
-    for share in ticket.service.callers:
-        if share.caller == ticket.caller:
-            return share.weight
-    return 1.0
-
-
 def _drop_if_empty(
     queue: models.Queue,
     priority: configuration_models.Priority,
--- a/src/agateshelf/core/limits/window.py
+++ b/src/agateshelf/core/limits/window.py
@@ -7,8 +7,6 @@
 entry's part of a target is less than one slot; their sum is what counts.
 """
 
-import math
-
 from agateshelf.core import events
 from agateshelf.core.limits import const
 from agateshelf.core.limits import models
@@ -38,7 +36,6 @@
     if known is None:
         return
     known.in_flight += 1
-    _mark_full(pool, target, known)
 
 
 def on_ended(pool: models.Pool, target: str) -> None:
@@ -48,7 +45,6 @@
     if known is None:
         return
     known.in_flight = max(0, known.in_flight - 1)
-    _mark_full(pool, target, known)
 
 
 def on_answer(
@@ -64,10 +60,11 @@
     if load is not None and load.slots > 0:
         known.slots = load.slots
     if _is_congested(pool, known, seconds, load):
-        _set_limit(pool, target, known, known.limit * const.LIMIT_SHRINK)
+        _set_limit(pool, known, known.limit * const.LIMIT_SHRINK)
         return
     if _is_wanted(pool):
-        _set_limit(pool, target, known, known.limit + const.LIMIT_GROWTH)
+        growth = const.LIMIT_GROWTH / len(pool.targets)
+        _set_limit(pool, known, known.limit + growth)
 
 
 def on_overload(pool: models.Pool, target: str) -> None:
@@ -76,7 +73,13 @@
     if known is None:
         return
     shrunk = known.limit * const.LIMIT_SHRINK_REFUSED
-    _set_limit(pool, target, known, shrunk)
+    _set_limit(pool, known, shrunk)
+
+
+def scale(pool: models.Pool, factor: float) -> None:
+    """Scale all limits, as when the number of entries has changed."""
+    for known in pool.targets.values():
+        _set_limit(pool, known, known.limit * factor)
 
 
 def first_limit(slots: int, entries: int) -> float:
@@ -102,19 +105,9 @@
 
 
 def _set_limit(
-    pool: models.Pool, target: str, known: models.TargetLimit, limit: float
+    pool: models.Pool, known: models.TargetLimit, limit: float
 ) -> None:
     most = known.slots * const.MOST_LIMIT_FACTOR
     limit = min(most, max(const.LEAST_LIMIT, limit))
     pool.window += limit - known.limit
     known.limit = limit
-    _mark_full(pool, target, known)
-
-
-def _mark_full(
-    pool: models.Pool, target: str, known: models.TargetLimit
-) -> None:
-    if known.in_flight >= math.ceil(known.limit):
-        pool.full.add(target)
-    else:
-        pool.full.discard(target)
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -18,6 +18,7 @@
 from agateshelf.core.claims import shards as claim_shards
 from agateshelf.core.configuration import handling as configuration
 from agateshelf.core.limits import admission
+from agateshelf.core.limits import lending
 from agateshelf.core.membership import handling as membership
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.routing import choice
@@ -77,6 +78,8 @@
             return lifecycle.exit_if_idle(state)
         case events.SlotFreed():
             return admission.on_slot_freed(state, now, event)
+        case events.LoansDue():
+            return lending.on_due(state, now)
         case events.WaitEnded():
             return admission.on_wait_ended(state, now, event)
         case _:
@@ -113,7 +116,7 @@
             choice.on_target_listed(state.routing, event)
             return []
         case events.EntriesSeen():
-            return _on_entries(state, event)
+            return _on_entries(state, now, event)
         case (
             membership_models.RoundDue()
             | membership_models.AnswerDue()
@@ -127,8 +130,9 @@
 
 
 def _on_entries(
-    state: core_state.State, event: events.EntriesSeen
+    state: core_state.State, now: float, event: events.EntriesSeen
 ) -> list[effects.Effect]:
+    admission.adopt_entries(state, now, event)
     claim_owners.adopt_entries(state, event)
     return []
 
@@ -154,7 +158,9 @@
             return claim_handling.on_message(state, now, event.peer, message)
         case _:
             pass
-    done = membership.on_message(state, now, event.peer, event.message)
+    done = lending.on_message(state, now, event)
+    if done is None:
+        done = membership.on_message(state, now, event.peer, event.message)
     if done is None:
         done = configuration.on_message(state, now, event.peer, event.message)
     if done is not None:
@@ -169,7 +175,7 @@
         return configuration.on_not_adopted(state, event.configuration.version)
     state.cfg = event.configuration
     choice.adopt_configuration(state.routing, state.cfg)
-    admission.adopt_configuration(state)
+    admission.adopt_configuration(state, now)
     return [
         effects.Count("configuration.adopted"),
         *configuration.on_adopted(state, now),
--- a/src/agateshelf/daemon/peers/codec.py
+++ b/src/agateshelf/daemon/peers/codec.py
@@ -12,6 +12,7 @@
 from agateshelf import exceptions
 from agateshelf.core.claims import messages as claim_messages
 from agateshelf.core.configuration import messages as configuration_messages
+from agateshelf.core.limits import messages as limit_messages
 from agateshelf.core.membership import messages as membership_messages
 from agateshelf.core.peers import models
 from agateshelf.daemon.peers import const
@@ -30,6 +31,8 @@
     configuration_messages.TellVersion,
     claim_messages.RecordsProposed,
     claim_messages.RecordsDecided,
+    limit_messages.PartsWanted,
+    limit_messages.PartsLent,
 )
 
 
--- a/tests/core/limits/scenes.py
+++ b/tests/core/limits/scenes.py
@@ -6,6 +6,7 @@
 from agateshelf.core import state as core_state
 from agateshelf.core.configuration import models
 
+ENTRIES = ("e0", "e1", "e2", "e3")
 MARK = ("request-outcome", "not-run")
 CALM = events.TargetLoad(in_flight=1, queued=0, slots=2)
 CONGESTED = events.TargetLoad(in_flight=2, queued=9, slots=2)
@@ -41,9 +42,15 @@
 def create_state(*services, entry="e0"):
     state = core_state.create_state(core_state.Identity(entry, "boston"), 7)
     adopt(state, *services)
+    see_entries(state, ENTRIES)
     return state
 
 
+def see_entries(state, names, now=0.0):
+    seen = tuple(events.LiveEntry(name, "boston") for name in names)
+    return reducer.reduce(state, now, events.EntriesSeen(seen))
+
+
 def adopt(state, *services):
     version = state.cfg.version + 1
     cfg = models.Configuration(version, {s.name: s for s in services})
