--- /dev/null
+++ b/bench/passthrough.py
@@ -0,0 +1,73 @@
+"""A bare pass-through of curio and h11: the baseline of the live bench.
+
+It reads whole requests and answers and decides nothing.
+"""
+
+import sys
+from typing import Any
+
+import curio
+import curio.network
+import h11
+
+_READ_BYTES = 65536
+
+
+class Side:
+    """One connection and the state of HTTP on it."""
+
+    def __init__(self, sock: curio.io.Socket, role: Any) -> None:
+        self.sock = sock
+        self.protocol = h11.Connection(role)
+
+    async def next_event(self) -> Any:
+        """Return the next event."""
+        while (event := self.protocol.next_event()) is h11.NEED_DATA:
+            self.protocol.receive_data(await self.sock.recv(_READ_BYTES))
+        return event
+
+    async def read(self) -> tuple[Any, bytes]:
+        """Return a whole message's head and body."""
+        head = await self.next_event()
+        parts = []
+        while isinstance(event := await self.next_event(), h11.Data):
+            parts.append(bytes(event.data))
+        return head, b"".join(parts)
+
+    async def write(self, head: h11.Event, body: bytes) -> None:
+        """Send a whole message."""
+        data = [self.protocol.send(head) or b""]
+        if body:
+            data.append(self.protocol.send(h11.Data(data=body)) or b"")
+        data.append(self.protocol.send(h11.EndOfMessage()) or b"")
+        await self.sock.sendall(b"".join(data))
+
+
+async def _serve(sock: curio.io.Socket, target: tuple[str, int]) -> None:
+    caller = Side(sock, h11.SERVER)
+    up = await curio.open_connection(*target)
+    async with sock, up:
+        behind = Side(up, h11.CLIENT)
+        while True:
+            request, body = await caller.read()
+            if not isinstance(request, h11.Request):
+                return
+            await behind.write(request, body)
+            answer, body = await behind.read()
+            await caller.write(answer, body)
+            caller.protocol.start_next_cycle()
+            behind.protocol.start_next_cycle()
+
+
+async def main(address: str) -> None:
+    """Pass calls on to a target until killed."""
+    host, _, port = address.rpartition(":")
+    listener = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=128)
+    print(f"listening on 127.0.0.1:{listener.getsockname()[1]}", flush=True)
+    while True:
+        sock, _ = await listener.accept()
+        await curio.spawn(_serve, sock, (host, int(port)), daemon=True)
+
+
+if __name__ == "__main__":
+    curio.run(main, sys.argv[1])
