Take out of a call what its profile shows

Cause, from a profile of the entry under load: headers that h11 had parsed or that we make were checked a second time for sending; h11's header sequence was iterated over by index again and again; each attempt had a task, a timeout context and five traps for the clock.

Headers go to h11 as checked ones; they are turned into pairs once; the caller's own task runs the attempt that its call begins with (others get a task); one task keeps the deadlines of all attempts and ends one by shutting its connection, which is also how an attempt is cancelled; the clock is read without a trap; objects made at the start are kept out of garbage collections.

--- a/src/agateshelf/daemon/callers/checks.py
+++ b/src/agateshelf/daemon/callers/checks.py
@@ -84,8 +84,8 @@
             raise malformed("Content-Length is not one number.")
 
 
-def check_request(head: h11.Request) -> None:
-    """Check a parsed head.
+def check_request(head: h11.Request, headers: messages.Headers) -> None:
+    """Check a parsed head and its headers.
 
     Raises:
         BadRequestError: It can't be taken.
@@ -99,7 +99,7 @@
             "The method is not served.",
         )
     _check_target(head)
-    for name, value in head.headers:
+    for name, value in headers:
         if name == b"host" and not _HOST.fullmatch(value):
             raise malformed("The Host header is malformed.")
         if name == b"transfer-encoding" and head.http_version == b"1.0":
@@ -120,10 +120,11 @@
         raise malformed("The request target is not a path.")
 
 
-def body_length(head: h11.Request) -> int | None:
-    """Return the length that the head announces; None if it is chunked."""
-    headers = head.headers
-    if messages.header(headers, b"transfer-encoding") is not None:
-        return None
-    value = messages.header(headers, b"content-length")
-    return 0 if value is None else int(value)
+def body_length(headers: messages.Headers) -> int | None:
+    """Return the length that headers announce; None if it is chunked."""
+    for name, value in headers:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            return int(value)
+    return 0
--- a/src/agateshelf/daemon/callers/exchanges.py
+++ b/src/agateshelf/daemon/callers/exchanges.py
@@ -8,6 +8,7 @@
 from agateshelf.daemon import messages
 from agateshelf.daemon.callers import obligations
 from agateshelf.daemon.targets import answers
+from agateshelf.daemon.targets import progress
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,11 +19,31 @@
         request: The request.
         word: The answer or the refusal; None if the caller left.
         decided: Set once the final word is known.
+        listening: Whether the caller's task takes an attempt to run itself,
+            which saves a task for it.
+        offered: An attempt that the caller's task is to run.
     """
 
     request: messages.Request
     word: answers.Answer | outcome_models.Refusal | None = None
     decided: curio.Event = dataclasses.field(default_factory=curio.Event)
+    listening: bool = False
+    offered: progress.Progress | None = None
+
+    def offer(self, begun: progress.Progress) -> bool:
+        """Offer an attempt to the caller's task; return whether it runs it."""
+        if not self.listening:
+            return False
+        self.listening = False
+        self.offered = begun
+        return True
+
+    def take_offered(self) -> progress.Progress | None:
+        """Return the attempt to run, if there is one, and listen no more."""
+        begun = self.offered
+        self.offered = None
+        self.listening = False
+        return begun
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,11 +75,6 @@
         """Settle an exchange: its word is written or nobody waits for it."""
         await self.owed.discharge()
 
-    def request_of(self, call: int) -> messages.Request | None:
-        """Return the request of a call that is still open."""
-        exchange = self.open.get(call)
-        return exchange.request if exchange else None
-
     async def deliver(self, call: int, answer: answers.Answer) -> bool:
         """Hand the answer to the caller's task; return whether it waited."""
         return await self._decide(call, answer)
--- a/src/agateshelf/daemon/callers/reading.py
+++ b/src/agateshelf/daemon/callers/reading.py
@@ -149,15 +149,16 @@
         head = conn.protocol.next_event()
         if not isinstance(head, h11.Request):
             raise checks.malformed()
-        checks.check_request(head)
+        headers = messages.parsed(head.headers)
+        checks.check_request(head, headers)
         conn.hold(len(data))
-        body = await _read_body(conn, head)
+        body = await _read_body(conn, headers)
     except h11.RemoteProtocolError as exc:
         raise checks.malformed() from exc
     return messages.Request(
         method=bytes(head.method),
         path=bytes(head.target),
-        headers=messages.end_to_end(tuple(head.headers)),
+        headers=messages.end_to_end(headers),
         body=body,
         peer=conn.peer,
         http_version=bytes(head.http_version),
@@ -194,8 +195,10 @@
     return data
 
 
-async def _read_body(conn: CallerConnection, head: h11.Request) -> bytes:
-    length = checks.body_length(head)
+async def _read_body(
+    conn: CallerConnection, headers: messages.Headers
+) -> bytes:
+    length = checks.body_length(headers)
     if length is None:
         return await _read_chunks(conn)
     if length > conn.limits.request_body_bytes:
--- a/src/agateshelf/daemon/callers/server.py
+++ b/src/agateshelf/daemon/callers/server.py
@@ -12,6 +12,7 @@
 from agateshelf.daemon import messages
 from agateshelf.daemon.callers import arrivals
 from agateshelf.daemon.callers import const
+from agateshelf.daemon.callers import exchanges
 from agateshelf.daemon.callers import memory
 from agateshelf.daemon.callers import problems
 from agateshelf.daemon.callers import reading
@@ -140,8 +141,7 @@
         try:
             conn.call = call
             conn.enter(reading.Phase.WAITING)
-            await self.driver.post(arrivals.event_of(call, request))
-            await exchange.decided.wait()
+            await self._decide(call, exchange)
             conn.call = None
             conn.enter(reading.Phase.WRITING)
             return await self._write(conn, request, exchange.word)
@@ -149,6 +149,18 @@
             conn.call = None
             await self.driver.exchanges.end()
 
+    async def _decide(self, call: int, exchange: exchanges.Exchange) -> None:
+        """Wait for the final word, running attempts meanwhile if offered."""
+        driver = self.driver
+        exchange.listening = True
+        await driver.post(arrivals.event_of(call, exchange.request))
+        while (begun := exchange.take_offered()) is not None:
+            end = await driver.targets.run(begun)
+            exchange.listening = True
+            await driver.post(end)
+            await driver.targets.forget(begun)
+        await exchange.decided.wait()
+
     async def _write(
         self,
         conn: reading.CallerConnection,
--- a/src/agateshelf/daemon/callers/watching.py
+++ b/src/agateshelf/daemon/callers/watching.py
@@ -14,6 +14,7 @@
 
 import curio
 
+from agateshelf.daemon import clock
 from agateshelf.daemon.callers import reading
 
 _LOOK_SECONDS = 0.05
@@ -64,7 +65,7 @@
         for look in itertools.count():
             await self._notice_departures()
             if look % _LOOKS_PER_DEADLINE_CHECK == 0:
-                await self._keep_deadlines(await curio.clock())
+                await self._keep_deadlines(clock.now())
             await curio.sleep(_LOOK_SECONDS)
 
     async def _notice_departures(self) -> None:
--- a/src/agateshelf/daemon/callers/writing.py
+++ b/src/agateshelf/daemon/callers/writing.py
@@ -15,6 +15,7 @@
 
 _BODILESS_STATUSES = frozenset({204, 304})
 _PIECE_BYTES = 262144
+_END = h11.EndOfMessage()
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -81,11 +82,13 @@
         lines.append((b"content-length", b"%d" % len(body)))
     if close:
         lines.append((b"connection", b"close"))
-    head = h11.Response(status_code=status, headers=lines, reason=reason)
+    head = h11.Response(
+        status_code=status, headers=messages.sendable(lines), reason=reason
+    )
     parts = [conn.protocol.send(head)]
     if body and has_body:
         parts.append(conn.protocol.send(h11.Data(data=body)))
-    parts.append(conn.protocol.send(h11.EndOfMessage()))
+    parts.append(conn.protocol.send(_END))
     await _send(conn, b"".join(parts))
 
 
@@ -117,7 +120,9 @@
     if close:
         headers.append((b"connection", b"close"))
     head = h11.Response(
-        status_code=answer.status, headers=headers, reason=answer.reason
+        status_code=answer.status,
+        headers=messages.sendable(headers),
+        reason=answer.reason,
     )
     await _send(conn, conn.protocol.send(head))
     await _send(conn, conn.protocol.send(h11.Data(data=answer.body)))
@@ -129,7 +134,7 @@
         if not isinstance(event, h11.Data):
             break
         await _send(conn, conn.protocol.send(h11.Data(data=event.data)))
-    await _send(conn, conn.protocol.send(h11.EndOfMessage()))
+    await _send(conn, conn.protocol.send(_END))
 
 
 def reset_on_close(conn: reading.CallerConnection) -> None:
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -11,6 +11,7 @@
 from agateshelf.core import reducer
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
+from agateshelf.daemon import clock
 from agateshelf.daemon import metrics
 from agateshelf.daemon import operations
 from agateshelf.daemon.callers import exchanges
@@ -71,7 +72,7 @@
 
     async def post(self, event: events.Event) -> None:
         """Reduce an event and carry out what follows from it."""
-        now = await curio.clock()
+        now = clock.now()
         for effect in reducer.reduce(self.state, now, event):
             await self._perform(effect)
         await self._wake_timers()
@@ -86,11 +87,9 @@
     async def _perform(self, effect: effects.Effect) -> None:
         match effect:
             case effects.StartAttempt():
-                request = self.exchanges.request_of(effect.call)
-                if request is not None:
-                    await self.targets.start(effect, request, self.post)
+                await self._start(effect)
             case effects.CancelAttempt():
-                await self.targets.cancel(effect.attempt)
+                self.targets.cancel(effect.attempt)
             case effects.DeliverAnswer():
                 await self._deliver(effect)
             case effects.Replay():
@@ -143,6 +142,14 @@
             return
         await self.adopt(document)
 
+    async def _start(self, effect: effects.StartAttempt) -> None:
+        exchange = self.exchanges.open.get(effect.call)
+        if exchange is None:
+            return
+        begun = self.targets.begin(effect, exchange.request)
+        if not exchange.offer(begun):
+            await self.targets.start(begun, self.post)
+
     async def _deliver(self, effect: effects.DeliverAnswer) -> None:
         answer = self.targets.take_answer(effect.attempt)
         if answer is None:
@@ -163,7 +170,7 @@
             if self.wakes_at is None:
                 await self.earlier.wait()
                 continue
-            now = await curio.clock()
+            now = clock.now()
             if self.wakes_at <= now:
                 return
             async with curio.ignore_after(self.wakes_at - now):
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -1,5 +1,6 @@
 """The daemon's command line and its run from start to exit."""
 
+import gc
 import pathlib
 import secrets
 import signal
@@ -34,6 +35,7 @@
 
 _SEED_BITS = 64
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
+_COLLECTION_THRESHOLDS = (20_000, 20, 20)
 
 _log = logbook.Logger("daemon")
 
@@ -53,10 +55,22 @@
     except exceptions.DocumentError as exc:
         click.echo(f"agateshelfd: settings: {exc}", err=True)
         sys.exit(const.EXIT_BAD_INPUT)
+    _spare_the_collector()
     with logs.create_handler(cfg.logs).applicationbound():
         curio.run(run, cfg)
 
 
+def _spare_the_collector() -> None:
+    """Keep what was made at the start out of garbage collections.
+
+    Calls leave hardly a cycle behind; scanning everything for them now and
+    then would only make some calls late.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_COLLECTION_THRESHOLDS)
+
+
 def create_driver(
     cfg: settings.Settings, seed: int, held: memory.Budget
 ) -> daemon_driver.Driver:
@@ -119,6 +133,7 @@
     stop_signals = signals.create_signals((signal.SIGTERM, signal.SIGINT))
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(driver.run_timers)
+        await group.spawn(driver.targets.run_deadlines)
         await group.spawn(caller_server.watcher.run)
         if driver.peers is not None:
             await group.spawn(driver.peers.run, driver.post)
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -1,8 +1,7 @@
-"""The client towards targets: one task for each attempt."""
+"""The client towards targets."""
 
 from collections import abc
 import dataclasses
-import enum
 
 import curio
 import h11
@@ -10,62 +9,24 @@
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.daemon import clock
 from agateshelf.daemon import messages
 from agateshelf.daemon.callers import memory
 from agateshelf.daemon.targets import answers
 from agateshelf.daemon.targets import connection
+from agateshelf.daemon.targets import deadlines
 from agateshelf.daemon.targets import load
 from agateshelf.daemon.targets import pool
+from agateshelf.daemon.targets import progress
 from agateshelf.daemon.targets import requests
 
 CONNECT_SECONDS = 1.0
 
 _SEND_AT_ONCE_BYTES = 65536
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 _BODILESS_STATUSES = frozenset({204, 304})
 
 Post = abc.Callable[[events.Event], abc.Awaitable[None]]
-Kind = outcome_models.FailureKind
-
-
-class Stage(enum.Enum):
-    """How far an attempt got."""
-
-    CONNECTING = "connecting"
-    SENDING = "sending"
-    WAITING = "waiting"
-    READING = "reading"
-
-
-_KIND_OF_BREAK = {
-    Stage.CONNECTING: Kind.CONNECT,
-    Stage.SENDING: Kind.WRITE_CUT,
-    Stage.WAITING: Kind.RESET,
-    Stage.READING: Kind.ANSWER_CUT,
-}
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """How far an attempt got, and what it must give back if it fails.
-
-    Attributes:
-        began: Loop time at which it began.
-        stage: How far it got.
-        kept: Whether it runs on a connection used before.
-        conn: The connection, until it is handed on.
-        held: Bytes counted in the budget, until they are handed on.
-    """
-
-    began: float
-    stage: Stage = Stage.CONNECTING
-    kept: bool = False
-    conn: connection.TargetConnection | None = None
-    held: int = 0
-
-    @property
-    def any_byte_sent(self) -> bool:
-        """Return whether any byte of the request may have left."""
-        return self.stage is not Stage.CONNECTING
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,7 +38,8 @@
         held_bytes: Largest answer that is held whole.
         via: Value this hop adds to `Via`.
         budget: The entry's budget of held bytes.
-        tasks: Tasks of the attempts under way.
+        expiries: Deadlines of the attempts.
+        running: Attempts under way.
         ready: Answers that wait to be delivered.
     """
 
@@ -85,24 +47,75 @@
     held_bytes: int
     via: bytes
     budget: memory.Budget
-    tasks: dict[int, curio.Task] = dataclasses.field(default_factory=dict)
+    expiries: deadlines.Deadlines = dataclasses.field(
+        default_factory=deadlines.Deadlines
+    )
+    running: dict[int, progress.Progress] = dataclasses.field(
+        default_factory=dict
+    )
     ready: dict[int, answers.Answer] = dataclasses.field(default_factory=dict)
 
-    async def start(
-        self,
-        effect: effects.StartAttempt,
-        request: messages.Request,
-        post: Post,
-    ) -> None:
-        """Start an attempt; its end is posted as an event."""
-        run = self._run(effect, request, post)
-        self.tasks[effect.attempt] = await curio.spawn(run, daemon=True)
+    def begin(
+        self, effect: effects.StartAttempt, request: messages.Request
+    ) -> progress.Progress:
+        """Register an attempt, which may be cancelled from now on."""
+        begun = progress.Progress(effect, request, clock.now())
+        self.running[effect.attempt] = begun
+        return begun
+
+    async def start(self, begun: progress.Progress, post: Post) -> None:
+        """Run an attempt on a task of its own; its end is posted."""
+        await curio.spawn(self._run_alone, begun, post, daemon=True)
+
+    async def _run_alone(self, begun: progress.Progress, post: Post) -> None:
+        await post(await self.run(begun))
+        await self.forget(begun)
+
+    async def run(
+        self, begun: progress.Progress
+    ) -> events.AttemptAnswered | events.AttemptFailed:
+        """Run an attempt; return the event of its end."""
+        effect = begun.effect
+        await self.expiries.add(begun.began + effect.timeout, effect.attempt)
+        try:
+            return await self._exchange(begun)
+        except h11.RemoteProtocolError:
+            kind = begun.kind_of_protocol_error()
+        except OSError:
+            kind = begun.kind_of_break()
+        except h11.LocalProtocolError:
+            kind = outcome_models.FailureKind.UNSENT
+        finally:
+            await self._give_back(begun)
+        if begun.kept and kind is outcome_models.FailureKind.TIMEOUT:
+            await self.connections.discard_elders(effect.address, begun.began)
+        return events.AttemptFailed(
+            effect.attempt,
+            kind,
+            any_byte_sent=begun.any_byte_sent,
+            kept_connection=begun.kept,
+        )
 
-    async def cancel(self, attempt: int) -> None:
+    async def forget(self, begun: progress.Progress) -> None:
+        """Drop the answer of an attempt if nobody took it."""
+        unwanted = self.ready.pop(begun.effect.attempt, None)
+        if unwanted is not None:
+            await self.drop(unwanted)
+
+    def cancel(self, attempt: int) -> None:
         """Give an attempt up; its connection is closed, never used again."""
-        task = self.tasks.pop(attempt, None)
-        if task is not None:
-            await task.cancel(blocking=False)
+        begun = self.running.get(attempt)
+        if begun is not None:
+            begun.interrupt(progress.Interruption.CANCELLED)
+
+    async def run_deadlines(self) -> None:
+        """End attempts whose time is over; never returns."""
+        await self.expiries.run(self._expire)
+
+    async def _expire(self, attempt: int) -> None:
+        begun = self.running.get(attempt)
+        if begun is not None:
+            begun.interrupt(progress.Interruption.TIMEOUT)
 
     def take_answer(self, attempt: int) -> answers.Answer | None:
         """Return the answer of an attempt, once."""
@@ -124,95 +137,58 @@
             return
         await self.drop(answer)
 
-    async def _run(
-        self,
-        effect: effects.StartAttempt,
-        request: messages.Request,
-        post: Post,
-    ) -> None:
-        end = await self._attempt(effect, request)
-        self.tasks.pop(effect.attempt, None)
-        await post(end)
-        unwanted = self.ready.pop(effect.attempt, None)
-        if unwanted is not None:
-            await self.drop(unwanted)
-
-    async def _attempt(
-        self, effect: effects.StartAttempt, request: messages.Request
-    ) -> events.AttemptAnswered | events.AttemptFailed:
-        progress = Progress(await curio.clock())
-        try:
-            async with curio.timeout_after(effect.timeout):
-                return await self._exchange(effect, request, progress)
-        except curio.TaskTimeout:
-            kind = Kind.TIMEOUT if progress.any_byte_sent else Kind.CONNECT
-            if progress.kept:
-                await self.connections.discard_elders(
-                    effect.address, progress.began
-                )
-        except h11.RemoteProtocolError:
-            kind = _kind_of_protocol_error(progress)
-        except OSError:
-            kind = _KIND_OF_BREAK[progress.stage]
-        except h11.LocalProtocolError:
-            kind = Kind.UNSENT
-        finally:
-            await self._give_back(progress)
-        return events.AttemptFailed(
-            effect.attempt,
-            kind,
-            any_byte_sent=progress.any_byte_sent,
-            kept_connection=progress.kept,
-        )
-
-    async def _give_back(self, progress: Progress) -> None:
-        self.budget.release(progress.held)
-        if progress.conn is not None:
-            await progress.conn.close()
+    async def _give_back(self, begun: progress.Progress) -> None:
+        del self.running[begun.effect.attempt]
+        self.budget.release(begun.held)
+        if begun.conn is not None:
+            await begun.conn.close()
 
     async def _exchange(
-        self,
-        effect: effects.StartAttempt,
-        request: messages.Request,
-        progress: Progress,
+        self, begun: progress.Progress
     ) -> events.AttemptAnswered:
-        conn = await self._connect(effect, progress)
-        data = requests.request_bytes(conn, effect, request, self.via)
-        progress.stage = Stage.SENDING
+        conn = await self._connect(begun)
+        data = requests.request_bytes(
+            conn, begun.effect, begun.request, self.via
+        )
+        if begun.interruption is not None:
+            raise ConnectionAbortedError("ended before it was sent")
+        begun.stage = progress.Stage.SENDING
         sender = await _send(conn, data)
         try:
-            answer = await self._read(conn, effect.attempt, progress)
+            answer = await self._read(conn, begun)
         finally:
             if sender is not None:
                 await sender.cancel()
-        progress.conn = None
-        progress.held = 0
+        begun.conn = None
+        begun.held = 0
         if answer.source is None:
             await self.connections.give(conn)
-        self.ready[effect.attempt] = answer
+        self.ready[begun.effect.attempt] = answer
         return load.event_of(answer)
 
     async def _connect(
-        self, effect: effects.StartAttempt, progress: Progress
+        self, begun: progress.Progress
     ) -> connection.TargetConnection:
-        conn = await self.connections.take(effect.address, fresh=effect.fresh)
-        progress.kept = conn is not None
-        if conn is None:
-            conn = await _open(effect.address)
-        progress.conn = conn
+        effect = begun.effect
+        kept = await self.connections.take(effect.address, fresh=effect.fresh)
+        if kept is not None:
+            begun.kept = True
+            begun.conn = kept
+            return kept
+        conn = connection.create_connection(effect.address)
+        begun.conn = conn
+        await _connect(conn)
         return conn
 
     async def _read(
-        self,
-        conn: connection.TargetConnection,
-        attempt: int,
-        progress: Progress,
+        self, conn: connection.TargetConnection, begun: progress.Progress
     ) -> answers.Answer:
         if conn.sent_whole:
-            progress.stage = Stage.WAITING
+            begun.stage = progress.Stage.WAITING
         head = await _read_head(conn)
-        progress.stage = Stage.READING
-        _check_framing(conn, head)
+        begun.stage = progress.Stage.READING
+        headers = messages.parsed(head.headers)
+        _check_framing(conn, head.status_code, headers)
         parts: list[bytes] = []
         source: connection.TargetConnection | None = None
         while True:
@@ -220,35 +196,34 @@
             if not isinstance(event, h11.Data):
                 break
             parts.append(bytes(event.data))
-            if not self._hold(len(event.data), progress):
+            if not self._hold(len(event.data), begun):
                 source = conn
                 break
-        headers = messages.end_to_end(tuple(head.headers))
         via = b"%b %b" % (head.http_version, self.via)
         return answers.Answer(
             status=head.status_code,
             reason=bytes(head.reason),
-            headers=(*headers, (b"via", via)),
+            headers=(*messages.end_to_end(headers), (b"via", via)),
             body=parts[0] if len(parts) == 1 else b"".join(parts),
             source=source,
-            attempt=attempt,
-            held=progress.held,
+            attempt=begun.effect.attempt,
+            held=begun.held,
         )
 
-    def _hold(self, size: int, progress: Progress) -> bool:
+    def _hold(self, size: int, begun: progress.Progress) -> bool:
         """Count more of an answer as held; if it can't be, it streams."""
-        if progress.held + size > self.held_bytes:
+        if begun.held + size > self.held_bytes:
             return False
         if not self.budget.reserve(size):
             return False
-        progress.held += size
+        begun.held += size
         return True
 
 
-async def _open(address: str) -> connection.TargetConnection:
+async def _connect(conn: connection.TargetConnection) -> None:
     try:
         async with curio.timeout_after(CONNECT_SECONDS):
-            return await connection.open_connection(address)
+            await conn.connect()
     except curio.TaskTimeout:
         raise TimeoutError("the target accepts no connection") from None
 
@@ -286,25 +261,16 @@
 
 
 def _check_framing(
-    conn: connection.TargetConnection, head: h11.Response
+    conn: connection.TargetConnection, status: int, headers: messages.Headers
 ) -> None:
     """Refuse an answer whose end can't be told from a break.
 
     Raises:
         h11.RemoteProtocolError: The answer has no framing, or two.
     """
-    names = {name for name, _ in head.headers}
-    framings = len(names & {b"content-length", b"transfer-encoding"})
-    if framings == 1 or head.status_code in _BODILESS_STATUSES:
+    framings = [name for name, _ in headers if name in _FRAMING_HEADERS]
+    if len(framings) == 1 or status in _BODILESS_STATUSES:
         return
-    if framings == 0 and conn.head_only:
+    if not framings and conn.head_only:
         return
     raise h11.RemoteProtocolError("the answer's length is not told")
-
-
-def _kind_of_protocol_error(progress: Progress) -> Kind:
-    """Return how an attempt ended whose answer h11 could not read."""
-    conn = progress.conn
-    if conn is not None and conn.protocol.trailing_data[1]:
-        return _KIND_OF_BREAK[progress.stage]
-    return Kind.BAD_ANSWER
--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -1,5 +1,6 @@
 """One connection to a target, spoken through h11."""
 
+import contextlib
 import dataclasses
 import socket
 
@@ -29,6 +30,15 @@
     sent_whole: bool = True
     head_only: bool = False
 
+    async def connect(self) -> None:
+        """Open the connection.
+
+        Raises:
+            OSError: The target does not accept it.
+        """
+        host, _, port = self.address.rpartition(":")
+        await self.sock.connect((host.strip("[]"), int(port)))
+
     async def send(self, data: bytes) -> None:
         """Send bytes.
 
@@ -75,25 +85,35 @@
             return False
         return False
 
+    def interrupt(self) -> None:
+        """Shut the connection, which wakes the task that uses it."""
+        with contextlib.suppress(OSError):
+            self.sock._socket.shutdown(socket.SHUT_RDWR)  # noqa: SLF001
+
     async def close(self) -> None:
         """Close the socket, whatever state it is in."""
         await self.sock.close()
 
 
+def create_connection(address: str) -> TargetConnection:
+    """Create a connection to an IP number and port, not yet opened."""
+    host = address.rpartition(":")[0]
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return TargetConnection(sock, h11.Connection(h11.CLIENT), address)
+
+
 async def open_connection(address: str) -> TargetConnection:
     """Open a connection to an IP number and port.
 
     Raises:
-        OSError: The target does not accept it.
+        OSError: The other side does not accept it.
     """
-    host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
+    conn = create_connection(address)
     try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await sock.connect((host, int(port)))
+        await conn.connect()
     except BaseException:
-        await sock.close()
+        await conn.close()
         raise
-    return TargetConnection(sock, h11.Connection(h11.CLIENT), address)
+    return conn
--- a/src/agateshelf/daemon/targets/load.py
+++ b/src/agateshelf/daemon/targets/load.py
@@ -1,28 +1,38 @@
 """Load and state that targets carry on their answers."""
 
+import re
+
 from agateshelf import const
 from agateshelf.core import events
 from agateshelf.core.claims import const as claim_const
-from agateshelf.daemon import messages
 from agateshelf.daemon.targets import answers
 
 _LOAD = const.HEADER_TARGET_LOAD.encode()
+_DRAINING = const.STATE_DRAINING.encode()
+_LOAD_VALUE = re.compile(
+    rb"in-flight=([0-9]{1,9}), *queued=([0-9]{1,9}), *slots=([0-9]{1,9})"
+)
 _STATE = const.HEADER_TARGET_STATE.encode()
 
 
 def event_of(answer: answers.Answer) -> events.AttemptAnswered:
     """Return the event that tells the reducer of an answer."""
-    state = messages.header(answer.headers, _STATE)
+    reported: events.TargetLoad | None = None
+    draining = False
+    headers = []
+    for name, value in answer.headers:
+        if name == _LOAD:
+            reported = parse_load(value)
+        elif name == _STATE:
+            draining = value == _DRAINING
+        headers.append((name.decode("latin-1"), value.decode("latin-1")))
     return events.AttemptAnswered(
         attempt=answer.attempt,
         status=answer.status,
-        headers=tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in answer.headers
-        ),
+        headers=tuple(headers),
         streaming=answer.source is not None,
-        load=parse_load(messages.header(answer.headers, _LOAD)),
-        draining=state == const.STATE_DRAINING.encode(),
+        load=reported,
+        draining=draining,
         body=_small_body(answer),
     )
 
@@ -34,18 +44,10 @@
     return None
 
 
-def parse_load(value: bytes | None) -> events.TargetLoad | None:
+def parse_load(value: bytes) -> events.TargetLoad | None:
     """Return the load in a header like `in-flight=3, queued=1, slots=2`."""
-    if value is None:
+    match = _LOAD_VALUE.fullmatch(value)
+    if match is None:
         return None
-    fields: dict[bytes, int] = {}
-    for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        if not number.isdigit():
-            return None
-        fields[name] = int(number)
-    return events.TargetLoad(
-        in_flight=fields.get(b"in-flight", 0),
-        queued=fields.get(b"queued", 0),
-        slots=fields.get(b"slots", 0),
-    )
+    in_flight, queued, slots = match.groups()
+    return events.TargetLoad(int(in_flight), int(queued), int(slots))
--- a/src/agateshelf/daemon/targets/pool.py
+++ b/src/agateshelf/daemon/targets/pool.py
@@ -2,8 +2,7 @@
 
 import dataclasses
 
-import curio
-
+from agateshelf.daemon import clock
 from agateshelf.daemon.targets import connection
 
 FRESH_SECONDS = 0.25
@@ -36,7 +35,7 @@
         kept = self.idle.get(address)
         if not kept:
             return None
-        now = await curio.clock()
+        now = clock.now()
         oldest_allowed = now - (FRESH_SECONDS if fresh else _IDLE_SECONDS)
         while kept:
             last = kept[-1].last_answer
@@ -56,7 +55,7 @@
             await conn.close()
             return
         conn.protocol.start_next_cycle()
-        conn.last_answer = await curio.clock()
+        conn.last_answer = clock.now()
         kept.append(conn)
 
     async def discard_elders(self, address: str, since: float) -> None:
--- a/src/agateshelf/daemon/targets/requests.py
+++ b/src/agateshelf/daemon/targets/requests.py
@@ -11,6 +11,7 @@
 _TIMEOUT_MS = const.HEADER_TIMEOUT_MS.encode()
 _NO_RETRY = const.HEADER_NO_RETRY.encode()
 _REPLACED = frozenset({b"content-length", b"expect", _TIMEOUT_MS, _NO_RETRY})
+_END = h11.EndOfMessage()
 _METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
@@ -28,13 +29,13 @@
     head = h11.Request(
         method=request.method,
         target=request.path,
-        headers=_headers(effect, request, via),
+        headers=messages.sendable(_headers(effect, request, via)),
     )
     conn.head_only = request.method == b"HEAD"
     parts = [conn.protocol.send(head)]
     if request.body:
         parts.append(conn.protocol.send(h11.Data(data=request.body)))
-    parts.append(conn.protocol.send(h11.EndOfMessage()))
+    parts.append(conn.protocol.send(_END))
     return b"".join(parts)
 
 
--- a/tests/daemon/callers/test_whole_answers.py
+++ b/tests/daemon/callers/test_whole_answers.py
@@ -300,7 +300,7 @@
         await leaving.sock.close()
         await curio.sleep(0.2)
         assert not rig.driver.state.calls.calls
-        assert not rig.driver.targets.tasks
+        assert not rig.driver.targets.running
         assert rig.driver.metrics.counts["callers.left"] == 1
         assert rig.driver.exchanges.open == {}
 
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -226,6 +226,7 @@
     driver = daemon_main.create_driver(cfg, 1, held)
     caller_server = server.create_server(driver, cfg, held)
     await curio.spawn(driver.run_timers, daemon=True)
+    await curio.spawn(driver.targets.run_deadlines, daemon=True)
     await curio.spawn(caller_server.watcher.run, daemon=True)
     policy = service_of(target.address, **service)
     configuration = models.Configuration(1, {policy.name: policy})
