Prove patches and their spread in virtual time; mend what that showed

Found by the proofs and mended: a pull in chunks began anew at each lost message (330 services never arrived at a tenth lost within 8 s) and now asks another peer for the same chunk; peers that remember other versions answered with different changes, so a pull that meets them starts over with the whole; watchers read the store 250 times a second each while its reads lagged behind a change, and now back off; two services with equal policies could not be put into an empty store.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -284,6 +284,11 @@
             event = events.ConfigurationRead(cfg)
         self.at(self.now, lambda: self.post(node, event))
 
+    def adopt(self, node: Node, version: int) -> None:
+        """Put a version in force whose content the entry already holds."""
+        cfg = configuration_models.Configuration(version, {})
+        self.post(node, events.ConfigurationRead(cfg))
+
     def _list(self, node: Node) -> None:
         if self.instances is None:
             self.post(node, events.InstancesNotListed())
--- a/src/agateshelf/core/configuration/following.py
+++ b/src/agateshelf/core/configuration/following.py
@@ -99,7 +99,8 @@
             done = _judge(state, now, head)
             return [*done, *_watch(state, now, 0)]
         case storage.Changes():
-            cfg.follow_failures = 0
+            if answer.keys:
+                cfg.newer_than = cfg.watched_after
             _schedule(state, now)
             return []
         case _:
@@ -114,12 +115,29 @@
     except records.RecordError:
         sentence = "The store's head is not readable."
         return [effects.Warn(sentence), *_back_off(state, now)]
+    if _lags(state, entry):
+        return _back_off(state, now)
     done = _judge(state, now, head)
     if state.configuration.store_read is not None:
         return done
     return [*done, *_watch(state, now, entry.version)]
 
 
+def _lags(state: core_state.State, entry: storage.Entry) -> bool:
+    """Return whether a read shows less than a watch has told of.
+
+    After some such reads it is believed: the store itself went back.
+    """
+    cfg = state.configuration
+    if cfg.newer_than is None or entry.version > cfg.newer_than:
+        cfg.newer_than = None
+        return False
+    if cfg.follow_failures < const.LAGGING_READS:
+        return True
+    cfg.newer_than = None
+    return False
+
+
 def _watch(
     state: core_state.State, now: float, after: int
 ) -> list[effects.Effect]:
@@ -128,6 +146,7 @@
         _schedule(state, now + _check_seconds(state))
         return []
     seconds = const.WATCH_SECONDS
+    state.configuration.watched_after = after
     body = storage.Watch(const.KEY_HEAD, after, seconds)
     return _ask(state, body, seconds + const.WATCH_GRACE_SECONDS)
 
--- a/src/agateshelf/core/configuration/records.py
+++ b/src/agateshelf/core/configuration/records.py
@@ -123,9 +123,10 @@
 
     For demonstrations and tests; operators submit a patch to version 0.
     """
-    parts = tuple(
-        StoredRecord(part_key(new.manifest[name]), part.value)
+    values = {
+        part_key(new.manifest[name]): part.value
         for name, part in new.parts.items()
-    )
+    }
+    parts = tuple(StoredRecord(key, value) for key, value in values.items())
     head = next_head(create_empty_head(), new, "first")
     return (*parts, StoredRecord(const.KEY_HEAD, encode_head(head)))
--- a/src/agateshelf/core/configuration/spread_models.py
+++ b/src/agateshelf/core/configuration/spread_models.py
@@ -8,17 +8,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Pull:
-    """Content that is being fetched from a peer, chunk by chunk.
+    """Content that is being fetched from peers, chunk by chunk.
 
     Attributes:
+        version: Version that a peer must have to be asked.
         serial: Number of the request in flight.
-        peer: The entry that was asked.
+        peer: The entry that was asked last.
+        whole: Whether all parts are asked for, not only those changed.
         key: What the chunks must agree on; None before the first one.
         chunks: The chunks so far.
     """
 
-    serial: int
-    peer: str
+    version: int
+    serial: int = 0
+    peer: str = ""
+    whole: bool = False
     key: tuple[int, int, str] | None = None
     chunks: list[bytes] = dataclasses.field(default_factory=list)
 
@@ -61,6 +65,9 @@
         follow_request: The head's read or watch in flight, or None.
         waited_cold: Whether a turn passed without any configuration.
         follow_failures: Answers in a row that the store owes.
+        watched_after: Version of the head's key that the watch began from.
+        newer_than: Version of the head's key that a watch saw replaced; None
+            if the next read need not be newer.
         has_store: Whether the store may be asked.
         store_lower: Version of the store's head while it is below the one
             in force; None otherwise.
@@ -89,6 +96,8 @@
     waited_cold: bool = False
     follow_request: int | None = None
     follow_failures: int = 0
+    watched_after: int = 0
+    newer_than: int | None = None
     has_store: bool = False
     store_lower: int | None = None
     patches: dict[int, patch_models.PatchRun] = dataclasses.field(
--- a/src/agateshelf/core/configuration/spreading.py
+++ b/src/agateshelf/core/configuration/spreading.py
@@ -1,5 +1,7 @@
 """Fetching newer content from peers, and passing it on."""
 
+import zlib
+
 import msgspec
 
 from agateshelf.core import effects
@@ -19,6 +21,8 @@
     parts: tuple[content.Part, ...]
 
 
+_COMPRESSION_LEVEL = 1
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Changes)
 
@@ -60,8 +64,7 @@
         return []
     if cfg.invalid.get(wanted, now) > now:
         return []
-    peers = sorted(p for p, version in cfg.heard.items() if version == wanted)
-    cfg.pull = spread_models.Pull(0, state.rng.choice(peers))
+    cfg.pull = spread_models.Pull(wanted)
     return _ask_chunk(state, now, cfg.pull)
 
 
@@ -69,32 +72,45 @@
     state: core_state.State, now: float, pull: spread_models.Pull
 ) -> list[effects.Effect]:
     cfg = state.configuration
+    peer = _next_peer(state, pull)
+    if peer is None:
+        cfg.pull = None
+        return []
+    pull.peer = peer
     cfg.serial += 1
     pull.serial = cfg.serial
     at = now + const.PULL_TIMEOUT_SECONDS * state.rng.uniform(0.8, 1.2)
     timers.schedule(state.timers, at, models.PullDue(pull.serial))
-    held = cfg.in_force
+    base = None if pull.whole else cfg.in_force
     message = messages.PullContent(
         number=pull.serial,
-        version=held.version if held else 0,
-        digest=held.digest if held else "",
+        version=base.version if base else 0,
+        digest=base.digest if base else "",
         chunk=len(pull.chunks),
     )
     return [effects.SendToPeers((pull.peer,), message)]
 
 
+def _next_peer(state: core_state.State, pull: spread_models.Pull) -> str | None:
+    """Return another peer that has the version, so that all share the work."""
+    heard = state.configuration.heard
+    peers = sorted(p for p, version in heard.items() if version >= pull.version)
+    others = [peer for peer in peers if peer != pull.peer]
+    if not peers:
+        return None
+    return state.rng.choice(others or peers)
+
+
 def on_pull_due(
     state: core_state.State, now: float, event: models.PullDue
 ) -> list[effects.Effect]:
-    """Ask another peer when one kept silent."""
+    """Ask another peer for the same chunk when one kept silent."""
     cfg = state.configuration
-    if cfg.pull is None or cfg.pull.serial != event.serial:
+    pull = cfg.pull
+    if pull is None or pull.serial != event.serial:
         return []
-    silent = cfg.pull.peer
-    cfg.pull = None
-    cfg.heard.pop(silent, None)
-    again = pull_if_behind(state, now)
-    return [effects.Count("configuration.pull_unanswered"), *again]
+    counted = effects.Count("configuration.pull_unanswered")
+    return [counted, *_ask_chunk(state, now, pull)]
 
 
 def on_pull(
@@ -114,15 +130,15 @@
         base = None
     data = _encode_changes(state, base, held)
     chunks = max(1, -(-len(data) // const.CHUNK_BYTES))
-    begin = message.chunk * const.CHUNK_BYTES
-    if not 0 <= message.chunk < chunks:
-        return []
+    # An asker that is elsewhere learns by the first chunk to start over.
+    chunk = message.chunk if 0 <= message.chunk < chunks else 0
+    begin = chunk * const.CHUNK_BYTES
     answer = messages.ContentChunk(
         number=message.number,
         version=held.version,
         digest=held.digest,
         base_version=base.version if base else 0,
-        chunk=message.chunk,
+        chunk=chunk,
         chunks=chunks,
         data=data[begin : begin + const.CHUNK_BYTES],
     )
@@ -153,7 +169,7 @@
         removed=tuple(name for name in manifest if name not in held.manifest),
         parts=content.changed_parts(manifest, held),
     )
-    data = _encoder.encode(changes)
+    data = zlib.compress(_encoder.encode(changes), _COMPRESSION_LEVEL)
     cfg.encoded = spread_models.EncodedChanges(key, data)
     return data
 
@@ -173,8 +189,7 @@
     if pull.key is None:
         pull.key = key
     if pull.key != key or not _is_next(pull, message):
-        cfg.pull = None
-        return pull_if_behind(state, now)
+        return _start_over(state, now, pull, message)
     pull.chunks.append(message.data)
     if len(pull.chunks) < message.chunks:
         return _ask_chunk(state, now, pull)
@@ -186,6 +201,24 @@
     return adoption.propose(state, new)
 
 
+def _start_over(
+    state: core_state.State,
+    now: float,
+    pull: spread_models.Pull,
+    message: messages.ContentChunk,
+) -> list[effects.Effect]:
+    """Begin with the first chunk again, of the whole content this time.
+
+    Peers have gone on, or don't all remember the version to start from; of the
+    whole content of one version all give the same chunks.
+    """
+    pull.key = None
+    pull.chunks.clear()
+    pull.whole = True
+    pull.version = max(pull.version, message.version)
+    return _ask_chunk(state, now, pull)
+
+
 def _is_next(pull: spread_models.Pull, message: messages.ContentChunk) -> bool:
     if message.chunks > const.MAX_CHUNKS:
         return False
@@ -205,11 +238,16 @@
             return None
         parts.update(held.parts)
     try:
-        changes = _decoder.decode(data)
-    except msgspec.MsgspecError:
+        changes = _decoder.decode(_decompress(data))
+    except (msgspec.MsgspecError, zlib.error):
         return None
     for name in changes.removed:
         parts.pop(name, None)
     parts.update({part.name: part for part in changes.parts})
     new = content.create_content(message.version, parts.values())
     return new if new.digest == message.digest else None
+
+
+def _decompress(data: bytes) -> bytes:
+    """Return decompressed data; what grows beyond the limit is cut off."""
+    return zlib.decompressobj().decompress(data, const.MAX_CONTENT_BYTES)
--- a/src/agateshelf/core/membership/roster.py
+++ b/src/agateshelf/core/membership/roster.py
@@ -8,6 +8,7 @@
 from agateshelf.core.membership import const
 from agateshelf.core.membership import messages
 from agateshelf.core.membership import models
+from agateshelf.core.membership import view
 
 
 def on_wanted(
@@ -47,7 +48,9 @@
         state.membership.roster_after = None
         return []
     state.membership.roster_after = message.members[-1].entry
-    return ask(state, peer)
+    # Each page from another entry, so that none pays for all of them.
+    others = view.neighbours(state)
+    return ask(state, state.rng.choice(others) if others else peer)
 
 
 def ask(state: core_state.State, peer: str) -> list[effects.Effect]:
--- /dev/null
+++ b/tests/core/configuration/test_spread.py
@@ -0,0 +1,221 @@
+"""Tests of how a version reaches every entry, and never goes back."""
+
+import copy
+import dataclasses
+import random
+import zlib
+
+from tests.core.configuration import operators as helpers
+
+from agateshelf.core import events
+from agateshelf.core.configuration import const
+from agateshelf.core.configuration import content
+from agateshelf.core.configuration import messages
+from agateshelf.core.configuration import models
+from agateshelf.core.configuration import records
+from agateshelf.core.configuration import results
+
+
+def test_only_a_few_entries_ask_the_store(fleet, operators):
+    operators.accept("entry-0", 0)
+    fleet.store_calls.clear()
+    fleet.run_for(120.0)
+    assert len(fleet.store_calls) == const.WATCHERS
+    assert sum(fleet.store_calls.values()) < 120.0
+
+
+def test_a_change_by_another_hand_is_found_by_the_watchers(fleet, operators):
+    operators.accept("entry-0", 0)
+    entry = fleet.store.keys.get(const.KEY_HEAD, now=fleet.now)
+    head = records.decode_head(entry.value)
+    new = content.create_content(2, [content.Part("services/a", b"2")])
+    keys = fleet.store.keys
+    key = records.part_key(new.manifest["services/a"])
+    keys.put(key, b"2", if_version=0, now=fleet.now)
+    value = records.encode_head(records.next_head(head, new, "by-hand"))
+    keys.put(const.KEY_HEAD, value, if_version=entry.version, now=fleet.now)
+    fleet.run_for(const.WATCH_SECONDS + 5.0)
+    assert helpers.versions(fleet) == {2}
+
+
+def test_store_down_changes_nothing_and_a_new_entry_asks_its_peers(
+    fleet, operators
+):
+    operators.accept("entry-0", 0)
+    fleet.store.away = True
+    fleet.run_for(300.0)
+    assert helpers.versions(fleet) == {1}
+    node = fleet.start("entry-8", ["entry-2"])
+    fleet.run_for(5.0)
+    assert node.state.cfg.version == 1
+    assert node.state.configuration.in_force.parts
+
+
+def test_a_new_entry_is_not_ready_when_nobody_has_it(fleet):
+    fleet.store.away = True
+    node = fleet.start("entry-8", ["entry-2"])
+    fleet.run_for(60.0)
+    assert node.state.cfg.version == 0
+
+
+def test_after_an_outage_there_is_no_stampede(fleet, operators):
+    operators.accept("entry-0", 0)
+    fleet.store.away = True
+    fleet.store_calls.clear()
+    fleet.run_for(600.0)
+    assert sum(fleet.store_calls.values()) < 300
+    fleet.store.away = False
+    fleet.store_calls.clear()
+    fleet.run_for(60.0)
+    assert sum(fleet.store_calls.values()) < 60.0
+
+
+def test_all_entries_replaced_during_an_outage_keep_the_version(
+    fleet, operators
+):
+    operators.accept("entry-0", 0)
+    fleet.store.away = True
+    names = sorted(fleet.nodes)
+    for name in names:
+        fleet.nodes[name].alive = False
+        fleet.start(name, [n for n in names if n != name][:3])
+        fleet.run_for(5.0)
+    assert helpers.versions(fleet) == {1}
+
+
+def restore(fleet, saved):
+    """Let the store go back to what it was."""
+    fleet.store.keys = saved
+
+
+def test_a_store_that_went_back_leads_nobody_back(fleet, operators):
+    operators.accept("entry-0", 0)
+    saved = copy.deepcopy(fleet.store.keys)
+    operators.accept("entry-0", 1)
+    restore(fleet, saved)
+    fleet.run_for(60.0)
+    assert helpers.versions(fleet) == {2}
+    assert fleet.counts["configuration.store_lower"]
+    operation = operators.submit("entry-3", 2)
+    fleet.run_for(const.PATCH_ANSWER_SECONDS + 1)
+    assert "lower" in operators.result(operation).detail
+    newcomer = fleet.start("entry-9", ["entry-2"])
+    fleet.run_for(30.0)
+    assert newcomer.state.cfg.version == 2
+
+
+def test_an_operator_may_republish_what_is_in_force(fleet, operators):
+    operators.accept("entry-0", 0)
+    saved = copy.deepcopy(fleet.store.keys)
+    operators.accept("entry-0", 1)
+    restore(fleet, saved)
+    republish = events.RepublishRequested
+    answer = operators.ask("entry-3", republish, "again", "ann", "lost", 1.0)
+    assert answer.result == results.Accepted(2)
+    assert operators.accept("entry-5", 2) == results.Accepted(3)
+    assert helpers.versions(fleet) == {3}
+
+
+def test_republishing_over_a_head_that_is_not_lower_is_refused(operators):
+    operators.accept("entry-0", 0)
+    republish = events.RepublishRequested
+    answer = operators.ask("entry-3", republish, "again", "ann", "why", 1.0)
+    assert isinstance(answer.result, results.Refused)
+
+
+def test_a_partition_between_entries_heals_to_the_highest_version(
+    fleet, operators
+):
+    operators.accept("entry-0", 0)
+    side = {"entry-0", "entry-1", "entry-2"}
+    fleet.parted = lambda a, b: (a in side) != (b in side)
+    fleet.store_away_at = set(fleet.nodes) - side
+    operators.accept("entry-0", 1)
+    fleet.run_for(60.0)
+    assert helpers.versions(fleet) == {1, 2}
+    fleet.parted = lambda _a, _b: False
+    fleet.run_for(30.0)
+    assert helpers.versions(fleet) == {2}
+
+
+def test_a_paused_watcher_does_no_harm(fleet, operators):
+    operators.accept("entry-0", 0)
+    paused = fleet.nodes["entry-0"]
+    operators.submit("entry-0", 1)
+    fleet.run_for(fleet.store.latency * 3)
+    fleet.pause(paused)
+    for base in (1, 2):
+        operators.accept("entry-4", base)
+    fleet.resume(paused)
+    fleet.run_for(60.0)
+    assert helpers.versions(fleet) == {3}
+    assert operators.lookup("entry-0", "patch-4") == results.Accepted(3)
+
+
+def test_a_version_refused_by_the_border_is_not_put_in_force(fleet, operators):
+    operators.accept("entry-0", 0)
+    fleet.invalid = {("entry-3", 2)}
+    operators.accept("entry-0", 1)
+    assert fleet.nodes["entry-3"].state.cfg.version == 1
+    assert fleet.counts["configuration.invalid"] == 1
+    operators.accept("entry-0", 2)
+    assert fleet.nodes["entry-3"].state.cfg.version == 3
+
+
+CHANGES = b"\x92\x90\x91\x82\xa4name\xaaservices/a\xa5value\xc4\x019"
+
+
+def test_a_check_that_ends_late_does_not_lead_back(fleet, operators):
+    operators.accept("entry-0", 0)
+    operators.accept("entry-0", 1)
+    late = events.ConfigurationRead(models.Configuration(1, {}))
+    fleet.post(fleet.nodes["entry-0"], late)
+    assert fleet.nodes["entry-0"].state.cfg.version == 2
+
+
+def chunk_for(node, peer, **changes):
+    """Return a chunk that answers the entry's own pull."""
+    fresh = content.create_content(9, [content.Part("services/a", b"9")])
+    chunk = messages.ContentChunk(
+        number=node.state.configuration.pull.serial,
+        version=9,
+        digest=fresh.digest,
+        base_version=0,
+        chunk=0,
+        chunks=1,
+        data=zlib.compress(CHANGES),
+    )
+    return events.PeerSpoke(peer, dataclasses.replace(chunk, **changes))
+
+
+def test_content_that_breaks_its_digest_changes_nothing(fleet, operators):
+    operators.accept("entry-0", 0)
+    node = fleet.nodes["entry-0"]
+    faults = (
+        {"digest": "0"},
+        {"data": b"\xff"},
+        {"data": zlib.compress(CHANGES[:-1])},
+        {"base_version": 7},
+    )
+    for changes in faults:
+        fleet.post(node, events.PeerVersionHeard("entry-1", 9))
+        fleet.post(node, chunk_for(node, "entry-1", **changes))
+        fleet.run_for(0.0)
+        assert node.state.cfg.version == 1
+    fleet.post(node, events.PeerVersionHeard("entry-1", 9))
+    fleet.post(node, chunk_for(node, "entry-2"))
+    fleet.run_for(0.0)
+    assert node.state.cfg.version == 1
+    fleet.post(node, chunk_for(node, "entry-1"))
+    fleet.run_for(0.0)
+    assert node.state.cfg.version == 9
+
+
+def test_large_content_passes_in_chunks(fleet, operators):
+    letters = random.Random(1).choices("0123456789abcdef", k=200_000)
+    value = "".join(letters)
+    operators.submit("entry-0", 0, value=value)
+    fleet.run_for(8.0)
+    assert helpers.versions(fleet) == {1}
+    held = fleet.nodes["entry-7"].state.configuration.in_force
+    assert held.parts["services/a"].value == value.encode()
