Keep poisonous requests from target after target

A request whose connections are lost after sending is known by a fingerprint that holds its caller, so that no caller's request is refused for another's. Bystanders are cleared as soon as a target answers them.

--- a/bench/bookings_world.py
+++ b/bench/bookings_world.py
@@ -187,7 +187,12 @@
         key = copy.booking.key
         self.post(
             events.RequestArrived(
-                copy.number, "dealer", "POST", "/bookings/1", key, 2.0
+                copy.number,
+                "dealer",
+                "POST",
+                "/bookings/1",
+                key,
+                self.world.caller_timeout,
             )
         )
 
@@ -265,6 +270,8 @@
         bookings: What callers want.
         claim_seconds: Time of each start, and seconds since it arrived.
         writes: Times of writes at the store.
+        caller_timeout: Seconds that callers say they will wait.
+        stale: The store that ranges are answered from, if not the real one.
     """
 
     def __init__(
@@ -282,6 +289,8 @@
         self.store = fakestore.FakeStore(latency=0.003)
         self.store_away = False
         self.lose_answers = 0
+        self.caller_timeout = 2.0
+        self.stale: fakestore.FakeStore | None = None
         self.entries: dict[str, Entry] = {}
         self.ledger: list[Run] = []
         self.bookings: list[Booking] = []
@@ -370,7 +379,10 @@
             self.lose_answers = max(0, self.lose_answers - 1)
             self._lose_answer(entry, effect)
             return
-        answer = self.store.answer(effect.body, self.now)
+        store = self.store
+        if self.stale and isinstance(effect.body, storage.Range):
+            store = self.stale
+        answer = store.answer(effect.body, self.now)
         self._answer_store(entry, effect, answer)
 
     def _lose_answer(self, entry: Entry, effect: effects.AskStore) -> None:
--- a/src/agateshelf/core/calls/ending.py
+++ b/src/agateshelf/core/calls/ending.py
@@ -9,6 +9,7 @@
 from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
+from agateshelf.core.poison import evidence as poison
 from agateshelf.core.retries import rules as rules_of_retries
 from agateshelf.core.routing import choice
 
@@ -31,6 +32,18 @@
     )
     call.answer = rules.recorded(event.status, event.headers, event.body)
     admission.on_answer(state, now, attempt, event)
+    done = poison.on_answer(state, now, call, event)
+    done.extend(_decide(state, now, call, attempt, event))
+    return done
+
+
+def _decide(
+    state: core_state.State,
+    now: float,
+    call: models.Call,
+    attempt: models.Attempt,
+    event: events.AttemptAnswered,
+) -> list[effects.Effect]:
     refused = rules.is_refusal(call.service, event.headers)
     unavailable = call.idempotent and event.status == _STATUS_UNAVAILABLE
     if (refused or unavailable) and not event.streaming:
@@ -102,15 +115,18 @@
         return []
     call, attempt = ended
     admission.on_failure(state, attempt, event)
+    done = poison.on_failure(state, now, call, attempt, event)
     verdict = rules.verdict_of_failure(
         event.kind, any_byte_sent=event.any_byte_sent
     )
     _note(call, verdict)
     if call.attempts:
-        return []
-    if rules_of_retries.may_retry(state, now, call):
-        return lifecycle.start_retry(state, now, call)
-    return lifecycle.give_up(state, call, _failure_refusal(call))
+        return done
+    if poison.may_retry(call) and rules_of_retries.may_retry(state, now, call):
+        done.extend(lifecycle.start_retry(state, now, call))
+    else:
+        done.extend(lifecycle.give_up(state, call, _failure_refusal(call)))
+    return done
 
 
 def _note(call: models.Call, verdict: outcome_models.Verdict) -> None:
--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -12,6 +12,7 @@
 from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
+from agateshelf.core.poison import evidence as poison
 from agateshelf.core.retries import budget
 from agateshelf.core.routing import choice
 
@@ -34,6 +35,9 @@
     timers.schedule(
         state.timers, call.deadline, events.DeadlinePassed(call.number)
     )
+    poisonous = poison.refusal_of(state, now, call)
+    if poisonous is not None:
+        return give_up(state, call, poisonous)
     admission.admit(state, now, call)
     return []
 
@@ -134,6 +138,7 @@
         timeout=min(remaining, call.service.attempt_timeout),
         fresh=not call.idempotent,
         no_retry=call.no_retry or call.service.retry_share > 0,
+        not_after=claim_requests.usable_until(state, call),
     )
     return [effect]
 
--- a/src/agateshelf/core/calls/models.py
+++ b/src/agateshelf/core/calls/models.py
@@ -44,6 +44,7 @@
         attempts: Numbers of its attempts in flight.
         tried: Identifiers of the targets tried so far.
         verdict: The worst verdict of its ended attempts.
+        cuts: How many of its attempts lost their connection after sending.
         answer: What is kept of its answer, for repeats.
     """
 
@@ -61,6 +62,7 @@
     attempts: set[int] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
     verdict: outcome_models.Verdict = outcome_models.Verdict.DID_NOT_RUN
+    cuts: int = 0
     answer: outcome_models.RecordedAnswer | None = None
 
 
--- a/src/agateshelf/core/claims/requests.py
+++ b/src/agateshelf/core/claims/requests.py
@@ -177,6 +177,14 @@
     return claim.stage is models.Stage.UNCLAIMED
 
 
+def usable_until(state: core_state.State, call: call_models.Call) -> float:
+    """Return the time after which no attempt of the call may be sent."""
+    claim = state.claims.claims.get(call.number)
+    if claim is None or claim.stage is not models.Stage.HELD:
+        return call.deadline
+    return min(call.deadline, claim.asked + const.USE_WITHIN_SECONDS)
+
+
 def _on_away(
     state: core_state.State, claim: models.Claim
 ) -> list[effects.Effect]:
--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -21,6 +21,7 @@
         timeout: Seconds until the attempt is given up.
         fresh: Whether a connection must be new or proven alive just now.
         no_retry: Whether the hops below must not retry.
+        not_after: Time after which nothing may be sent any more.
     """
 
     call: int
@@ -30,6 +31,7 @@
     timeout: float
     fresh: bool
     no_retry: bool
+    not_after: float = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agateshelf/core/outcomes/rules.py
+++ b/src/agateshelf/core/outcomes/rules.py
@@ -1,24 +1,36 @@
 """The one table of what an attempt's end says about its request."""
 
+from typing import Final
+
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.outcomes import models
 
 _FIRST_SERVER_ERROR = 500
 
-_UNSENT_KINDS = frozenset(
-    {models.FailureKind.CONNECT, models.FailureKind.UNSENT}
-)
+_UNSENT = models.Verdict.DID_NOT_RUN
+_MAYBE = models.Verdict.MAY_HAVE_RUN
+_KIND = models.FailureKind
+
+# The verdict on each way an attempt ends without a whole answer: first if no
+# byte of the request left, then if any may have left. docs/OUTCOMES.md shows
+# the same table.
+FAILURE_VERDICTS: Final = {
+    _KIND.CONNECT: (_UNSENT, _MAYBE),
+    _KIND.UNSENT: (_UNSENT, _MAYBE),
+    _KIND.WRITE_CUT: (_MAYBE, _MAYBE),
+    _KIND.RESET: (_MAYBE, _MAYBE),
+    _KIND.TIMEOUT: (_MAYBE, _MAYBE),
+    _KIND.BAD_ANSWER: (_MAYBE, _MAYBE),
+    _KIND.ANSWER_CUT: (_MAYBE, _MAYBE),
+    _KIND.CANCELLED: (_UNSENT, _MAYBE),
+}
 
 
 def verdict_of_failure(
     kind: models.FailureKind, *, any_byte_sent: bool
 ) -> models.Verdict:
     """Return the verdict on an attempt that brought no whole answer."""
-    if any_byte_sent:
-        return models.Verdict.MAY_HAVE_RUN
-    if kind in _UNSENT_KINDS or kind is models.FailureKind.CANCELLED:
-        return models.Verdict.DID_NOT_RUN
-    return models.Verdict.MAY_HAVE_RUN
+    return FAILURE_VERDICTS[kind][any_byte_sent]
 
 
 def verdict_of_answer(
--- /dev/null
+++ b/src/agateshelf/core/poison/evidence.py
@@ -0,0 +1,157 @@
+"""From lost connections to crashes: what a call's attempts show.
+
+A connection lost after sending is a cut. It counts as a crash if it was a new
+connection, if another one to the target is lost at about the same time, or if
+the target soon refuses a connection. A request that is answered is cleared, so
+that bystanders of a crash are not suspected for long.
+"""
+
+from collections import abc
+import hashlib
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core.calls import models as call_models
+from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.outcomes import rules
+from agateshelf.core.poison import const
+from agateshelf.core.poison import messages
+from agateshelf.core.poison import models
+from agateshelf.core.poison import suspects
+
+_FINGERPRINT_BYTES = 16
+_LENGTH_BYTES = 4
+_STATUS_UNAVAILABLE = 503
+_CUT_KINDS = frozenset(
+    {
+        outcome_models.FailureKind.RESET,
+        outcome_models.FailureKind.WRITE_CUT,
+        outcome_models.FailureKind.ANSWER_CUT,
+        outcome_models.FailureKind.BAD_ANSWER,
+    }
+)
+
+
+def fingerprint_of(call: call_models.Call) -> bytes:
+    """Return what recognises a request when its caller sends it again."""
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    parts = (call.service.name, call.caller, call.method, call.path)
+    for part in parts:
+        data = part.encode()
+        digest.update(len(data).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(data)
+    digest.update(call.body_digest)
+    return digest.digest()
+
+
+def refusal_of(
+    state: core_state.State, now: float, call: call_models.Call
+) -> outcome_models.Refusal | None:
+    """Return the refusal of a request that crashed too many targets."""
+    if not state.poison.suspects:
+        return None
+    suspect = suspects.crashes_of(state, now, fingerprint_of(call))
+    if suspect is None or len(suspect.crashes) < call.service.poison_crashes:
+        return None
+    return outcome_models.Refusal(
+        status=_STATUS_UNAVAILABLE,
+        outcome=outcome_models.Outcome.NOT_RUN,
+        reason=const.REASON_POISONOUS,
+        detail=(
+            f"{len(suspect.crashes)} targets were lost while they ran this "
+            "request. This copy was not run; earlier ones may have been."
+        ),
+        retry_after=suspect.until - now,
+    )
+
+
+def may_retry(call: call_models.Call) -> bool:
+    """Return whether a call may be tried at one more target."""
+    return call.cuts < call.service.poison_crashes
+
+
+def on_failure(
+    state: core_state.State,
+    now: float,
+    call: call_models.Call,
+    attempt: call_models.Attempt,
+    event: events.AttemptFailed,
+) -> list[effects.Effect]:
+    """Learn from an attempt that brought no whole answer."""
+    if event.kind is outcome_models.FailureKind.CONNECT:
+        return _confirm(state, now, attempt.target, const.CONFIRM_SECONDS)
+    if event.kind not in _CUT_KINDS or not event.any_byte_sent:
+        return []
+    call.cuts += 1
+    incarnation = state.claims.incarnation.hex()
+    cut = models.Cut(
+        attempt.target,
+        fingerprint_of(call),
+        f"{incarnation}-{attempt.number}",
+        now,
+    )
+    if not event.kept_connection:
+        return _count(state, now, cut)
+    together = _confirm(state, now, attempt.target, const.TOGETHER_SECONDS)
+    if together:
+        return [*together, *_count(state, now, cut)]
+    state.poison.cuts.append(cut)
+    if len(state.poison.cuts) > const.MAX_CUTS:
+        state.poison.cuts.popleft()
+    return []
+
+
+def on_answer(
+    state: core_state.State,
+    now: float,
+    call: call_models.Call,
+    event: events.AttemptAnswered,
+) -> list[effects.Effect]:
+    """Clear a request that a target lived to answer, unless it shed it."""
+    if not state.poison.suspects and not state.poison.cuts:
+        return []
+    if event.status == _STATUS_UNAVAILABLE:
+        return []
+    if rules.is_refusal(call.service, event.headers):
+        return []
+    fingerprint = fingerprint_of(call)
+    _drop(state.poison, lambda cut: cut.fingerprint == fingerprint)
+    return suspects.clear(state, now, fingerprint)
+
+
+def _confirm(
+    state: core_state.State, now: float, target: str, within: float
+) -> list[effects.Effect]:
+    oldest = now - const.CONFIRM_SECONDS
+    _drop(state.poison, lambda cut: cut.at < oldest)
+    done: list[effects.Effect] = []
+    for cut in _drop(
+        state.poison,
+        lambda cut: cut.target == target and now - cut.at <= within,
+    ):
+        done.extend(_count(state, now, cut))
+    return done
+
+
+def _drop(
+    poison: models.PoisonState, matches: abc.Callable[[models.Cut], bool]
+) -> list[models.Cut]:
+    if not poison.cuts:
+        return []
+    found = [cut for cut in poison.cuts if matches(cut)]
+    if found:
+        kept = [cut for cut in poison.cuts if not matches(cut)]
+        poison.cuts.clear()
+        poison.cuts.extend(kept)
+    return found
+
+
+def _count(
+    state: core_state.State, now: float, cut: models.Cut
+) -> list[effects.Effect]:
+    suspects.add(state, now, cut.fingerprint, cut.crash)
+    message = messages.CrashSeen(cut.fingerprint, cut.crash)
+    done: list[effects.Effect] = [effects.Count("poison.crashes")]
+    done.extend(suspects.tell(state, now, message))
+    return done
--- /dev/null
+++ b/src/agateshelf/core/poison/suspects.py
@@ -0,0 +1,85 @@
+"""Memory of suspects: bounded, shared with other entries, forgotten in time."""
+
+from agateshelf.core import effects
+from agateshelf.core import state as core_state
+from agateshelf.core.peers import models as peer_models
+from agateshelf.core.poison import const
+from agateshelf.core.poison import messages
+from agateshelf.core.poison import models
+
+
+def crashes_of(
+    state: core_state.State, now: float, fingerprint: bytes
+) -> models.Suspect | None:
+    """Return a suspect that is not forgotten yet."""
+    suspect = state.poison.suspects.get(fingerprint)
+    if suspect is None or suspect.until <= now:
+        return None
+    return suspect
+
+
+def add(
+    state: core_state.State, now: float, fingerprint: bytes, crash: str
+) -> bool:
+    """Add a crash to a suspect; return whether it is news."""
+    suspects = state.poison.suspects
+    suspect = crashes_of(state, now, fingerprint)
+    if suspect is not None and crash in suspect.crashes:
+        return False
+    if suspect is None:
+        suspect = models.Suspect(set(), 0.0)
+        suspects[fingerprint] = suspect
+    suspect.crashes.add(crash)
+    suspect.until = now + const.FORGET_SECONDS
+    suspects.move_to_end(fingerprint)
+    if len(suspects) > const.MAX_SUSPECTS:
+        suspects.popitem(last=False)
+    return True
+
+
+def clear(
+    state: core_state.State, now: float, fingerprint: bytes
+) -> list[effects.Effect]:
+    """Clear a suspect that was answered, here and at other entries."""
+    if state.poison.suspects.pop(fingerprint, None) is None:
+        return []
+    message = messages.SuspectCleared(fingerprint)
+    done: list[effects.Effect] = [effects.Count("poison.cleared")]
+    done.extend(tell(state, now, message))
+    return done
+
+
+def on_message(
+    state: core_state.State,
+    now: float,
+    message: messages.CrashSeen | messages.SuspectCleared,
+) -> list[effects.Effect]:
+    """Take in what another entry saw."""
+    match message:
+        case messages.CrashSeen(fingerprint, crash):
+            add(state, now, fingerprint, crash)
+        case messages.SuspectCleared(fingerprint):
+            state.poison.suspects.pop(fingerprint, None)
+    return []
+
+
+def tell(
+    state: core_state.State, now: float, message: peer_models.PeerMessage
+) -> list[effects.Effect]:
+    """Tell the other entries, as far as the bound on messages allows."""
+    peers = tuple(
+        entry for entry in state.claims.entries if entry != state.identity.entry
+    )
+    if not peers or not _take_token(state.poison, now):
+        return []
+    return [effects.SendToPeers(peers, message)]
+
+
+def _take_token(poison: models.PoisonState, now: float) -> bool:
+    gained = (now - poison.refilled) * const.MESSAGES_PER_SECOND
+    poison.tokens = min(const.MESSAGE_BURST, poison.tokens + gained)
+    poison.refilled = now
+    if poison.tokens < 1.0:
+        return False
+    poison.tokens -= 1.0
+    return True
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -21,6 +21,8 @@
 from agateshelf.core.limits import lending
 from agateshelf.core.membership import handling as membership
 from agateshelf.core.membership import models as membership_models
+from agateshelf.core.poison import messages as poison_messages
+from agateshelf.core.poison import suspects
 from agateshelf.core.routing import choice
 
 
@@ -156,6 +158,10 @@
             claim_messages.RecordsProposed() | claim_messages.RecordsDecided()
         ) as message:
             return claim_handling.on_message(state, now, event.peer, message)
+        case (
+            poison_messages.CrashSeen() | poison_messages.SuspectCleared()
+        ) as message:
+            return suspects.on_message(state, now, message)
         case _:
             pass
     done = lending.on_message(state, now, event)
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -12,6 +12,7 @@
 from agateshelf.core.configuration import spread_models
 from agateshelf.core.limits import models as limit_models
 from agateshelf.core.membership import models as membership_models
+from agateshelf.core.poison import models as poison_models
 from agateshelf.core.retries import models as retry_models
 from agateshelf.core.routing import models as routing_models
 
@@ -52,6 +53,7 @@
     configuration: spread_models.ConfigurationState
     timers: timers.Timers
     claims: claim_models.ClaimsState
+    poison: poison_models.PoisonState
     limits: limit_models.LimitsState = dataclasses.field(
         default_factory=limit_models.LimitsState
     )
@@ -77,6 +79,7 @@
         membership=membership_models.MembershipState(),
         configuration=spread_models.ConfigurationState(),
         timers=timers.Timers(),
+        poison=poison_models.PoisonState(),
         claims=claim_models.create_state(
             identity.entry, rng.randbytes(claim_models.INCARNATION_BYTES)
         ),
--- a/src/agateshelf/daemon/peers/codec.py
+++ b/src/agateshelf/daemon/peers/codec.py
@@ -15,6 +15,7 @@
 from agateshelf.core.limits import messages as limit_messages
 from agateshelf.core.membership import messages as membership_messages
 from agateshelf.core.peers import models
+from agateshelf.core.poison import messages as poison_messages
 from agateshelf.daemon.peers import const
 
 _TYPES: tuple[type[models.PeerMessage], ...] = (
@@ -33,6 +34,8 @@
     claim_messages.RecordsDecided,
     limit_messages.PartsWanted,
     limit_messages.PartsLent,
+    poison_messages.CrashSeen,
+    poison_messages.SuspectCleared,
 )
 
 
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -83,7 +83,7 @@
             kind = begun.kind_of_protocol_error()
         except OSError:
             kind = begun.kind_of_break()
-        except h11.LocalProtocolError:
+        except (h11.LocalProtocolError, progress.TooLateError):
             kind = outcome_models.FailureKind.UNSENT
         finally:
             await self._give_back(begun)
@@ -152,6 +152,8 @@
         )
         if begun.interruption is not None:
             raise ConnectionAbortedError("ended before it was sent")
+        if clock.now() > begun.effect.not_after:
+            raise progress.TooLateError
         begun.stage = progress.Stage.SENDING
         sender = await _send(conn, data)
         try:
--- a/src/agateshelf/daemon/targets/progress.py
+++ b/src/agateshelf/daemon/targets/progress.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from agateshelf import exceptions
 from agateshelf.core import effects
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.daemon import messages
@@ -11,6 +12,10 @@
 Kind = outcome_models.FailureKind
 
 
+class TooLateError(exceptions.AgateshelfError):
+    """The request must not be sent any more; no byte of it has left."""
+
+
 class Stage(enum.Enum):
     """How far an attempt got."""
 
--- /dev/null
+++ b/tests/core/poison/test_poison.py
@@ -0,0 +1,158 @@
+"""Tests of poisonous requests, on reducers alone."""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import reducer
+from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.poison import const
+from agateshelf.core.poison import messages
+
+KINDS = outcome_models.FailureKind
+
+
+def arrive(state, number, now=1.0, caller="dealer", method="GET", body=b"b"):
+    request = events.RequestArrived(
+        number, caller, method, "/bookings/1", body_digest=body
+    )
+    return reducer.reduce(state, now, request)
+
+
+def started(done):
+    """Return the only attempt that the effects start."""
+    (attempt,) = [e for e in done if isinstance(e, effects.StartAttempt)]
+    return attempt
+
+
+def refusal(done):
+    """Return the refusal among the effects."""
+    (found,) = [e for e in done if isinstance(e, effects.Refuse)]
+    return found.refusal
+
+
+def cut(state, attempt, now=1.1, kept=False):
+    return reducer.reduce(
+        state,
+        now,
+        events.AttemptFailed(
+            attempt.attempt,
+            KINDS.RESET,
+            any_byte_sent=True,
+            kept_connection=kept,
+        ),
+    )
+
+
+def crash_twice(state, method="GET"):
+    """Have a request lose two targets."""
+    first = started(arrive(state, 1, method=method))
+    done = cut(state, first)
+    if method == "POST":
+        return cut(state, started(arrive(state, 2, method=method)))
+    return cut(state, started(done))
+
+
+def test_an_idempotent_request_takes_no_more_targets_than_allowed(state):
+    word = refusal(crash_twice(state))
+    assert word.outcome is outcome_models.Outcome.UNKNOWN
+
+
+def test_a_request_that_crashed_targets_is_refused_when_sent_again(state):
+    crash_twice(state)
+    word = refusal(arrive(state, 9, now=2.0))
+    assert word.reason == const.REASON_POISONOUS
+    assert word.outcome is outcome_models.Outcome.NOT_RUN
+
+
+def test_a_non_idempotent_one_too(state):
+    crash_twice(state, method="POST")
+    word = refusal(arrive(state, 9, now=2.0, method="POST"))
+    assert word.reason == const.REASON_POISONOUS
+
+
+def test_it_is_forgotten_after_a_time(state):
+    crash_twice(state)
+    assert started(arrive(state, 9, now=2000.0))
+
+
+def test_the_same_request_of_another_caller_is_not_refused(state):
+    crash_twice(state)
+    assert started(arrive(state, 9, now=2.0, caller="other"))
+
+
+def test_a_bystander_that_is_answered_elsewhere_is_not_suspected(state):
+    for number in range(1, 6):
+        first = started(arrive(state, number, method="POST"))
+        cut(state, first)
+        again = started(arrive(state, 10 + number, now=1.2, method="POST"))
+        reducer.reduce(state, 1.3, events.AttemptAnswered(again.attempt, 200))
+    assert not state.poison.suspects
+
+
+def test_being_shed_does_not_clear_a_suspect(state):
+    first = started(arrive(state, 1))
+    second = started(cut(state, first))
+    reducer.reduce(state, 1.2, events.AttemptAnswered(second.attempt, 503))
+    assert len(state.poison.suspects) == 1
+
+
+def test_a_lost_kept_connection_counts_once_the_target_refuses(state):
+    first = started(arrive(state, 1, method="POST"))
+    cut(state, first, kept=True)
+    assert not state.poison.suspects
+    while True:
+        probe = started(arrive(state, 2, now=1.2, body=b"other"))
+        if probe.target == first.target:
+            break
+        reducer.reduce(state, 1.2, events.AttemptAnswered(probe.attempt, 200))
+    reducer.reduce(
+        state,
+        1.3,
+        events.AttemptFailed(probe.attempt, KINDS.CONNECT, any_byte_sent=False),
+    )
+    assert len(state.poison.suspects) == 1
+
+
+def test_an_expired_kept_connection_alone_is_no_crash(state):
+    for number in range(4):
+        first = started(arrive(state, number, now=1.0 + number, method="POST"))
+        cut(state, first, now=1.5 + number, kept=True)
+    assert not state.poison.suspects
+
+
+def test_other_entries_are_told_once_for_each_crash(state):
+    seen = events.EntriesSeen(
+        (events.LiveEntry("e0", "boston"), events.LiveEntry("e1", "boston"))
+    )
+    reducer.reduce(state, 0.5, seen)
+    told = [
+        effect
+        for effect in crash_twice(state)
+        if isinstance(effect, effects.SendToPeers)
+    ]
+    assert [effect.peers for effect in told] == [("e1",)]
+    assert isinstance(told[0].message, messages.CrashSeen)
+
+
+def test_what_others_saw_counts_and_repeats_do_not(state):
+    fingerprint = next(iter(_suspects_of(state)))
+    state.poison.suspects.clear()
+    for _ in range(3):
+        spoke = messages.CrashSeen(fingerprint, "crash-1")
+        reducer.reduce(state, 2.0, events.PeerSpoke("e1", spoke))
+    assert started(arrive(state, 8, now=2.0))
+    spoke = messages.CrashSeen(fingerprint, "crash-2")
+    reducer.reduce(state, 2.0, events.PeerSpoke("e1", spoke))
+    assert refusal(arrive(state, 9, now=2.1)).reason == const.REASON_POISONOUS
+
+
+def _suspects_of(state):
+    crash_twice(state)
+    return state.poison.suspects
+
+
+def test_memory_is_bounded(state, monkeypatch):
+    monkeypatch.setattr(const, "MAX_SUSPECTS", 10)
+    for number in range(50):
+        spoke = messages.CrashSeen(b"%d" % number, "crash")
+        reducer.reduce(state, 2.0, events.PeerSpoke("e1", spoke))
+    assert len(state.poison.suspects) == 10
