Trace calls and attempts, and gather metrics, without blocking the loop

Nothing showed which attempt of a call failed, and each metric was a datagram of its own. A server span for each call and a client span for each attempt carry service, target, verdict and status; each attempt's span goes on as traceparent. The SDK's exporters were ruled out, since they bring a thread and a blocking client: a processor puts ended spans into a bounded queue and a task sends them as OTLP over HTTP, 64 at a time, counting what is lost. Metrics gather for a second and leave several to a datagram.

--- a/bench/live.py
+++ b/bench/live.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import json
 import os
 import pathlib
 import shutil
@@ -74,13 +73,7 @@
         "queue": 256,
     }
     document = {"version": 1, "services": {"recall-lookups": service}}
-    system.request(
-        store.address,
-        "PUT",
-        "/v1/kv/config/head",
-        json.dumps(document).encode(),
-        {"If-Version": "0"},
-    )
+    system.put_configuration(store.address, document)
     settings = {
         "entry": "entry-0",
         "failure_domain": "boston",
--- a/src/agateshelf/daemon/callers/exchanges.py
+++ b/src/agateshelf/daemon/callers/exchanges.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import curio
+from opentelemetry import trace
 
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.daemon import messages
@@ -21,6 +22,7 @@
         decided: Set once the final word is known.
         listening: Whether the caller's task takes an attempt to run itself,
             which saves a task for it.
+        span: The call's span, if calls are traced.
         offered: An attempt that the caller's task is to run.
     """
 
@@ -28,6 +30,7 @@
     word: answers.Answer | outcome_models.Refusal | None = None
     decided: curio.Event = dataclasses.field(default_factory=curio.Event)
     listening: bool = False
+    span: trace.Span | None = None
     offered: progress.Progress | None = None
 
     def offer(self, begun: progress.Progress) -> bool:
--- a/src/agateshelf/daemon/callers/server.py
+++ b/src/agateshelf/daemon/callers/server.py
@@ -8,8 +8,10 @@
 
 from agateshelf.core import events
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.daemon import clock
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import messages
+from agateshelf.daemon import tracing
 from agateshelf.daemon.callers import arrivals
 from agateshelf.daemon.callers import const
 from agateshelf.daemon.callers import exchanges
@@ -138,6 +140,11 @@
         self, conn: reading.CallerConnection, request: messages.Request
     ) -> bool:
         call, exchange = self.driver.exchanges.begin(request)
+        driver = self.driver
+        began = clock.now()
+        if driver.traces is not None:
+            service = driver.service_of(request)
+            exchange.span = driver.traces.begin_call(request, service)
         try:
             conn.call = call
             conn.enter(reading.Phase.WAITING)
@@ -147,7 +154,23 @@
             return await self._write(conn, request, exchange.word)
         finally:
             conn.call = None
-            await self.driver.exchanges.end()
+            self._report(exchange, clock.now() - began)
+            await driver.exchanges.end()
+
+    def _report(self, exchange: exchanges.Exchange, seconds: float) -> None:
+        counted = self.driver.metrics
+        match exchange.word:
+            case outcome_models.Refusal() as refusal:
+                counted.count(f"calls.refused.{refusal.reason}")
+                status, outcome = refusal.status, refusal.outcome.value
+            case answers.Answer() as answer:
+                counted.count("calls.answered")
+                status, outcome = answer.status, "answered"
+            case None:
+                status, outcome = 0, "left"
+        counted.timing("calls.seconds", seconds)
+        if exchange.span is not None:
+            tracing.end_call(exchange.span, status, outcome)
 
     async def _decide(self, call: int, exchange: exchanges.Exchange) -> None:
         """Wait for the final word, running attempts meanwhile if offered."""
@@ -157,7 +180,7 @@
         while (begun := exchange.take_offered()) is not None:
             end = await driver.targets.run(begun)
             exchange.listening = True
-            await driver.post(end)
+            await driver.end_attempt(begun, end)
             await driver.targets.forget(begun)
         await exchange.decided.wait()
 
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -11,15 +11,19 @@
 from agateshelf.core import reducer
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
+from agateshelf.core.configuration import models as configuration_models
 from agateshelf.daemon import clock
+from agateshelf.daemon import messages
 from agateshelf.daemon import metrics
 from agateshelf.daemon import operations
+from agateshelf.daemon import tracing
 from agateshelf.daemon.callers import exchanges
 from agateshelf.daemon.peers import transport
 from agateshelf.daemon.platform import instances
 from agateshelf.daemon.platform import store
 from agateshelf.daemon.targets import answers
 from agateshelf.daemon.targets import client
+from agateshelf.daemon.targets import progress
 from agateshelf.documents import configuration
 
 _log = logbook.Logger("driver")
@@ -38,6 +42,7 @@
         instances: Client towards the platform's list of instances.
         operators: Operators' questions that wait for an answer.
         peers: Transport to the other entries; None without any.
+        traces: Spans of calls and attempts; None if calls are not traced.
         document: The checked document of the newest configuration read, for
             the administration API.
         ready: Whether readiness checks are answered with "ready".
@@ -55,6 +60,7 @@
         default_factory=operations.Operations
     )
     peers: transport.Transport | None = None
+    traces: tracing.Traces | None = None
     document: configuration.ConfigurationDocument | None = None
     ready: bool = True
     exited: curio.Event = dataclasses.field(default_factory=curio.Event)
@@ -147,8 +153,32 @@
         if exchange is None:
             return
         begun = self.targets.begin(effect, exchange.request)
+        if self.traces is not None and exchange.span is not None:
+            begun.span = self.traces.begin_attempt(exchange.span, effect)
         if not exchange.offer(begun):
-            await self.targets.start(begun, self.post)
+            await self.targets.start(begun, self.end_attempt)
+
+    async def end_attempt(
+        self, begun: progress.Progress, end: client.AttemptEnd
+    ) -> None:
+        """Post the end of an attempt, and report it."""
+        self.metrics.timing("attempts.seconds", clock.now() - begun.began)
+        match end:
+            case events.AttemptAnswered():
+                self.metrics.count("attempts.answered")
+            case events.AttemptFailed():
+                self.metrics.count(f"attempts.failed.{end.kind.value}")
+        if begun.span is not None:
+            service = self.service_of(begun.request)
+            tracing.end_attempt(begun.span, service, end)
+        await self.post(end)
+
+    def service_of(
+        self, request: messages.Request
+    ) -> configuration_models.Service | None:
+        """Return the service that a request belongs to."""
+        path = request.path.decode("latin-1")
+        return configuration_models.service_of(self.state.cfg, path)
 
     async def _deliver(self, effect: effects.DeliverAnswer) -> None:
         answer = self.targets.take_answer(effect.attempt)
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -22,6 +22,7 @@
 from agateshelf.daemon import metrics
 from agateshelf.daemon import signals
 from agateshelf.daemon import stopping
+from agateshelf.daemon import tracing
 from agateshelf.daemon.administration import server as administration
 from agateshelf.daemon.callers import exchanges
 from agateshelf.daemon.callers import memory
@@ -82,11 +83,13 @@
         via=cfg.entry.encode(),
         budget=held,
     )
+    counted = metrics.create_metrics(cfg.statsd)
     return daemon_driver.Driver(
         state=core_state.create_state(identity, seed),
         exchanges=exchanges.Exchanges(),
         targets=target_client,
-        metrics=metrics.create_metrics(cfg.statsd),
+        metrics=counted,
+        traces=tracing.create_traces(cfg.traces, cfg.entry, counted),
         store=store.StoreClient(cfg.platform.store),
         instances=instances.InstancesClient(cfg.platform.instances),
     )
@@ -134,6 +137,9 @@
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(driver.run_timers)
         await group.spawn(driver.targets.run_deadlines)
+        await group.spawn(driver.metrics.run)
+        if driver.traces is not None:
+            await group.spawn(driver.traces.run)
         await group.spawn(caller_server.watcher.run)
         if driver.peers is not None:
             await group.spawn(driver.peers.run, driver.post)
--- a/src/agateshelf/daemon/metrics.py
+++ b/src/agateshelf/daemon/metrics.py
@@ -2,10 +2,14 @@
 
 import dataclasses
 
+import curio
 import statsd
 
 from agateshelf import const
 
+_FLUSH_SECONDS = 1.0
+_MAX_TIMINGS_A_FLUSH = 2000
+
 
 @dataclasses.dataclass(slots=True)
 class Metrics:
@@ -14,21 +18,46 @@
     Attributes:
         client: The statsd client; None counts in memory only.
         counts: Every counter since the start, for `status`.
+        unsent: Counters since the last flush.
+        timings: Names and seconds since the last flush, up to a bound.
     """
 
     client: statsd.StatsClient | None
     counts: dict[str, int] = dataclasses.field(default_factory=dict)
+    unsent: dict[str, int] = dataclasses.field(default_factory=dict)
+    timings: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
         self.counts[name] = self.counts.get(name, 0) + amount
         if self.client is not None:
-            self.client.incr(name, amount)
+            self.unsent[name] = self.unsent.get(name, 0) + amount
 
     def timing(self, name: str, seconds: float) -> None:
         """Report how long something took."""
-        if self.client is not None:
-            self.client.timing(name, seconds * 1000.0)
+        if self.client is None:
+            return
+        if len(self.timings) < _MAX_TIMINGS_A_FLUSH:
+            self.timings.append((name, seconds))
+
+    def flush(self) -> None:
+        """Send what has gathered, several metrics to a datagram."""
+        if self.client is None:
+            return
+        pipe = self.client.pipeline()
+        for name, amount in self.unsent.items():
+            pipe.incr(name, amount)
+        for name, seconds in self.timings:
+            pipe.timing(name, seconds * 1000.0)
+        self.unsent = {}
+        self.timings = []
+        pipe.send()
+
+    async def run(self) -> None:
+        """Flush again and again; never returns."""
+        while True:
+            await curio.sleep(_FLUSH_SECONDS)
+            self.flush()
 
 
 def create_metrics(address: str | None) -> Metrics:
@@ -37,4 +66,5 @@
         return Metrics(None)
     host, _, port = address.rpartition(":")
     client = statsd.StatsClient(host, int(port), prefix=const.PRODUCT)
+    client._sock.setblocking(False)  # noqa: SLF001
     return Metrics(client)
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -26,7 +26,8 @@
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 _BODILESS_STATUSES = frozenset({204, 304})
 
-Post = abc.Callable[[events.Event], abc.Awaitable[None]]
+AttemptEnd = events.AttemptAnswered | events.AttemptFailed
+Ended = abc.Callable[[progress.Progress, AttemptEnd], abc.Awaitable[None]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,17 +64,15 @@
         self.running[effect.attempt] = begun
         return begun
 
-    async def start(self, begun: progress.Progress, post: Post) -> None:
-        """Run an attempt on a task of its own; its end is posted."""
-        await curio.spawn(self._run_alone, begun, post, daemon=True)
+    async def start(self, begun: progress.Progress, ended: Ended) -> None:
+        """Run an attempt on a task of its own, which reports its end."""
+        await curio.spawn(self._run_alone, begun, ended, daemon=True)
 
-    async def _run_alone(self, begun: progress.Progress, post: Post) -> None:
-        await post(await self.run(begun))
+    async def _run_alone(self, begun: progress.Progress, ended: Ended) -> None:
+        await ended(begun, await self.run(begun))
         await self.forget(begun)
 
-    async def run(
-        self, begun: progress.Progress
-    ) -> events.AttemptAnswered | events.AttemptFailed:
+    async def run(self, begun: progress.Progress) -> AttemptEnd:
         """Run an attempt; return the event of its end."""
         effect = begun.effect
         await self.expiries.add(begun.began + effect.timeout, effect.attempt)
@@ -147,9 +146,7 @@
         self, begun: progress.Progress
     ) -> events.AttemptAnswered:
         conn = await self._connect(begun)
-        data = requests.request_bytes(
-            conn, begun.effect, begun.request, self.via
-        )
+        data = requests.request_bytes(conn, begun, self.via)
         if begun.interruption is not None:
             raise ConnectionAbortedError("ended before it was sent")
         if clock.now() > begun.effect.not_after:
--- a/src/agateshelf/daemon/targets/progress.py
+++ b/src/agateshelf/daemon/targets/progress.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from opentelemetry import trace
+
 from agateshelf import exceptions
 from agateshelf.core import effects
 from agateshelf.core.outcomes import models as outcome_models
@@ -53,6 +55,7 @@
         conn: The connection, until it is handed on.
         held: Bytes counted in the budget, until they are handed on.
         interruption: Why this side ended it, if it did.
+        span: Its span, if calls are traced.
     """
 
     effect: effects.StartAttempt
@@ -63,6 +66,7 @@
     conn: connection.TargetConnection | None = None
     held: int = 0
     interruption: Interruption | None = None
+    span: trace.Span | None = None
 
     @property
     def any_byte_sent(self) -> bool:
--- /dev/null
+++ b/src/agateshelf/daemon/tracing.py
@@ -0,0 +1,192 @@
+"""Traces: a span for each call and each attempt, exported by our own task.
+
+Spans are those of the OpenTelemetry SDK. Its exporters start threads and its
+HTTP clients block; here a processor only puts ended spans into a bounded queue
+and a task of the loop sends them as OTLP over HTTP, a few at a time.
+"""
+
+import collections
+import dataclasses
+
+import curio
+from opentelemetry import propagate
+from opentelemetry import trace
+from opentelemetry.exporter.otlp.proto.common import trace_encoder
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import sampling
+
+from agateshelf import const
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core.configuration import models as configuration_models
+from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.outcomes import rules
+from agateshelf.daemon import messages
+from agateshelf.daemon import metrics
+from agateshelf.daemon.platform import http
+from agateshelf.documents import settings
+
+MAX_QUEUED_SPANS = 4096
+EXPORT_SPANS = 64
+EXPORT_SECONDS = 0.5
+
+_EXPORT_PATH = "/v1/traces"
+_EXPORT_TIMEOUT_SECONDS = 5.0
+_STATUS_OK = 200
+_TRACEPARENT = const.HEADER_TRACEPARENT.encode()
+_TRACESTATE = b"tracestate"
+_PROTOBUF = ("content-type", "application/x-protobuf")
+
+
+class QueueProcessor(sdk_trace.SpanProcessor):
+    """Keeps ended spans until they are exported, up to a bound."""
+
+    def __init__(self, counted: metrics.Metrics) -> None:
+        self.queue: collections.deque[sdk_trace.ReadableSpan] = (
+            collections.deque()
+        )
+        self._metrics = counted
+
+    def on_end(self, span: sdk_trace.ReadableSpan) -> None:
+        """Keep an ended span, or drop and count it if there is no room."""
+        if len(self.queue) >= MAX_QUEUED_SPANS:
+            self._metrics.count("traces.dropped")
+            return
+        self.queue.append(span)
+
+
+@dataclasses.dataclass(slots=True)
+class Traces:
+    """Begins and ends spans, and exports them.
+
+    Attributes:
+        tracer: Makes the spans.
+        processor: Holds ended spans.
+        collector: `HOST:PORT` that takes OTLP over HTTP.
+        metrics: Counts spans that were dropped.
+    """
+
+    tracer: trace.Tracer
+    processor: QueueProcessor
+    collector: str
+    metrics: metrics.Metrics
+
+    def begin_call(
+        self,
+        request: messages.Request,
+        service: configuration_models.Service | None,
+    ) -> trace.Span:
+        """Begin the span of a caller's request, under the caller's own."""
+        carrier = {
+            name.decode(): value.decode("latin-1")
+            for name, value in request.headers
+            if name in (_TRACEPARENT, _TRACESTATE)
+        }
+        span = self.tracer.start_span(
+            request.method.decode("ascii"),
+            context=propagate.extract(carrier),
+            kind=trace.SpanKind.SERVER,
+        )
+        if span.is_recording():
+            path = request.path.partition(b"?")[0].decode("latin-1")
+            span.set_attribute("url.path", path)
+            span.set_attribute("service", service.name if service else "")
+        return span
+
+    def begin_attempt(
+        self, call: trace.Span, effect: effects.StartAttempt
+    ) -> trace.Span:
+        """Begin the span of an attempt, under its call's."""
+        span = self.tracer.start_span(
+            "attempt",
+            context=trace.set_span_in_context(call),
+            kind=trace.SpanKind.CLIENT,
+        )
+        span.set_attribute("target", effect.target)
+        span.set_attribute("server.address", effect.address)
+        return span
+
+    async def run(self) -> None:
+        """Export what has ended, again and again; never returns."""
+        while True:
+            while self.processor.queue:
+                await self._export()
+            await curio.sleep(EXPORT_SECONDS)
+
+    async def _export(self) -> None:
+        queue = self.processor.queue
+        count = min(EXPORT_SPANS, len(queue))
+        spans = [queue.popleft() for _ in range(count)]
+        body = trace_encoder.encode_spans(spans).SerializeToString()
+        request = http.PlatformRequest("POST", _EXPORT_PATH, (_PROTOBUF,), body)
+        try:
+            answer = await http.fetch(
+                self.collector, request, _EXPORT_TIMEOUT_SECONDS
+            )
+        except http.PlatformError:
+            self.metrics.count("traces.dropped", count)
+            return
+        if answer.status != _STATUS_OK:
+            self.metrics.count("traces.dropped", count)
+
+
+def parent_header(span: trace.Span) -> bytes:
+    """Return the W3C `traceparent` that hops below continue from."""
+    context = span.get_span_context()
+    text = f"00-{context.trace_id:032x}-{context.span_id:016x}"
+    return f"{text}-{context.trace_flags:02x}".encode()
+
+
+def end_attempt(
+    span: trace.Span,
+    service: configuration_models.Service | None,
+    end: events.AttemptAnswered | events.AttemptFailed,
+) -> None:
+    """End the span of an attempt with its verdict."""
+    if not span.is_recording():
+        return
+    match end:
+        case events.AttemptAnswered():
+            verdict = outcome_models.Verdict.RAN
+            if service is not None:
+                verdict = rules.verdict_of_answer(
+                    service, end.status, end.headers
+                )
+            span.set_attribute("http.response.status_code", end.status)
+        case events.AttemptFailed():
+            verdict = rules.verdict_of_failure(
+                end.kind, any_byte_sent=end.any_byte_sent
+            )
+            span.set_attribute("error.type", end.kind.value)
+            span.set_status(trace.StatusCode.ERROR)
+    span.set_attribute("verdict", verdict.name.lower())
+    span.end()
+
+
+def end_call(span: trace.Span, status: int, outcome: str) -> None:
+    """End the span of a call with what its caller was told."""
+    if not span.is_recording():
+        return
+    span.set_attribute("http.response.status_code", status)
+    span.set_attribute("outcome", outcome)
+    span.end()
+
+
+def create_traces(
+    cfg: settings.Traces | None, entry: str, counted: metrics.Metrics
+) -> Traces | None:
+    """Create the traces, or None if the settings want none."""
+    if cfg is None:
+        return None
+    processor = QueueProcessor(counted)
+    provider = sdk_trace.TracerProvider(
+        sampler=sampling.ParentBased(sampling.TraceIdRatioBased(cfg.ratio)),
+        resource=resources.Resource(
+            {"service.name": const.PRODUCT, "service.instance.id": entry}
+        ),
+        shutdown_on_exit=False,
+    )
+    provider.add_span_processor(processor)
+    tracer = provider.get_tracer(const.PRODUCT)
+    return Traces(tracer, processor, cfg.collector, counted)
--- a/src/agateshelf/documents/settings.py
+++ b/src/agateshelf/documents/settings.py
@@ -102,6 +102,13 @@
     json_lines: bool = False
 
 
+class Traces(check.Document):
+    """Where spans go and for which share of calls that come without one."""
+
+    collector: Address
+    ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.01
+
+
 class Settings(check.Document):
     """All settings of an entry."""
 
@@ -114,7 +121,7 @@
     limits: Limits = Limits()
     logs: Logs = Logs()
     statsd: Address | None = None
-    traces: Address | None = None
+    traces: Traces | None = None
 
 
 def read_settings(path: pathlib.Path) -> Settings:
