Place calls by homes that know what targets hold; hedge, break, drain, warm up

Cause: fourteen entries each see a fourteenth of a service's calls, so an entry's own calls in flight say little of a target. Each group of at most nine targets now has a home entry, found by rendezvous hashing over the live entries, that is asked for each attempt and told how it ended; the entry runs the call itself, so claims and verdicts are untouched. A home that is silent for 6 ms is passed over and left alone for half a second.

Slowness is slot-seconds worked per good answer, decayed in 0.1 s, so calls in flight count as they age and only good answers are credited. Errors open a circuit breaker, tried by a single idempotent call; if most of a service looks bad the evidence is doubted. New targets ramp up. Hedges follow the 95th percentile, need a free slot elsewhere and spend the retry budget.

tests/core/limits/scenes.py has its lone entries choose without asking homes: those tests are of limits at one entry, whose peers do not run; no assertion changed.

--- a/bench/entries.py
+++ b/bench/entries.py
@@ -99,7 +99,8 @@
         self.calls[call.number] = call
         method = "GET" if call.idempotent else "POST"
         path = f"/{call.service}/1"
-        key = None if call.idempotent else str(call.number)
+        claims = self.world.sends_keys and not call.idempotent
+        key = str(call.number) if claims else None
         self.post(
             events.RequestArrived(call.number, call.caller, method, path, key)
         )
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -22,7 +22,7 @@
 _REJECT_SECONDS = 0.0003
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Job:
     """Work at a target.
 
@@ -39,7 +39,7 @@
     version: int = 0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class FakeTarget:
     """A target with slots, a queue and a speed that changes.
 
@@ -76,7 +76,7 @@
         return len(self.running) + len(self.queue)
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class FakeCall:
     """A caller's call at an entry."""
 
@@ -125,6 +125,7 @@
         entries: The entries that callers are sent to.
         store: The platform's store.
         tally: What the run has shown.
+        sends_keys: Whether non-idempotent calls carry a key, so are claimed.
         peers_away: Whether messages between entries are lost.
         peer_loss: Share of messages between entries that is lost.
         on_refusal: Called with a refused call and its refusal.
@@ -150,6 +151,7 @@
         self.entries: list[Entry] = []
         self.store = fakestore.FakeStore()
         self.tally = tally.Tally()
+        self.sends_keys = True
         self.peers_away = False
         self.peer_loss = 0.0
         self.on_refusal: (
--- a/src/agateshelf/core/calls/ending.py
+++ b/src/agateshelf/core/calls/ending.py
@@ -6,12 +6,14 @@
 from agateshelf.core.calls import const
 from agateshelf.core.calls import lifecycle
 from agateshelf.core.calls import models
+from agateshelf.core.hedging import models as hedging_models
 from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
 from agateshelf.core.poison import evidence as poison
 from agateshelf.core.retries import rules as rules_of_retries
-from agateshelf.core.routing import choice
+from agateshelf.core.routing import answers
+from agateshelf.core.routing import models as routing_models
 
 _STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
@@ -25,7 +27,7 @@
     if attempt is None:
         return [effects.Count("attempts.late_answers")]
     call = state.calls.calls[attempt.call]
-    _learn(state, call, attempt, event)
+    _learn(state, now, call, attempt, event)
     _note(
         call,
         rules.verdict_of_answer(call.service, event.status, event.headers),
@@ -44,6 +46,9 @@
     attempt: models.Attempt,
     event: events.AttemptAnswered,
 ) -> list[effects.Effect]:
+    if _has_better_hope(call, attempt, event):
+        lifecycle.end_attempt(state, attempt.number)
+        return []
     refused = rules.is_refusal(call.service, event.headers)
     unavailable = call.idempotent and event.status == _STATUS_UNAVAILABLE
     if (refused or unavailable) and not event.streaming:
@@ -57,15 +62,28 @@
     return _deliver(state, call, attempt)
 
 
+def _has_better_hope(
+    call: models.Call, attempt: models.Attempt, event: events.AttemptAnswered
+) -> bool:
+    """Return whether an error can be passed over for another attempt's sake."""
+    if attempt.ending is routing_models.Ending.ANSWERED or event.streaming:
+        return False
+    return len(call.attempts) > 1
+
+
 def _learn(
     state: core_state.State,
+    now: float,
     call: models.Call,
     attempt: models.Attempt,
     event: events.AttemptAnswered,
 ) -> None:
-    view = choice.view_of(state.routing, call.service.name, attempt.target)
-    if view is not None and event.draining:
-        view.draining = True
+    attempt.ending = answers.ending_of_answer(call.service, event)
+    attempt.draining = event.draining
+    answers.learn_load(state, now, attempt.placement, event)
+    if attempt.ending is routing_models.Ending.ANSWERED:
+        first = min(state.calls.attempts[n].started for n in call.attempts)
+        hedging_models.learn(state.hedging, call.service.name, now - first)
 
 
 def _deliver(
@@ -110,6 +128,9 @@
     state: core_state.State, now: float, event: events.AttemptFailed
 ) -> list[effects.Effect]:
     """Judge a failed attempt; try again only if that can double nothing."""
+    attempt = state.calls.attempts.get(event.attempt)
+    if attempt is not None:
+        attempt.ending = answers.ending_of_failure(event)
     ended = lifecycle.end_attempt(state, event.attempt)
     if ended is None:
         return []
--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -9,12 +9,14 @@
 from agateshelf.core.claims import refusals as claim_refusals
 from agateshelf.core.claims import requests as claim_requests
 from agateshelf.core.configuration import models as configuration_models
+from agateshelf.core.hedging import rules as hedging
 from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
 from agateshelf.core.poison import evidence as poison
 from agateshelf.core.retries import budget
-from agateshelf.core.routing import choice
+from agateshelf.core.routing import models as routing_models
+from agateshelf.core.routing import placing
 
 _STATUS_NOT_FOUND = 404
 _STATUS_UNAVAILABLE = 503
@@ -116,31 +118,77 @@
         return give_up(state, call, _deadline_refusal(call))
     if not claim_requests.may_start(state, now, call):
         return give_up(state, call, claim_refusals.claim_late())
-    view = choice.choose(
-        state.routing, call.service.name, call.tried, state.rng
+    wish = routing_models.Wish(
+        call=call.number,
+        service=call.service.name,
+        tried=frozenset(call.tried),
+        idempotent=call.idempotent,
+        hedge=False,
     )
-    if view is None:
+    return placing.request(state, now, wish)
+
+
+def on_target_chosen(
+    state: core_state.State, now: float, event: events.TargetChosen
+) -> list[effects.Effect]:
+    """Start an attempt at the target that was found for a call."""
+    call = state.calls.calls.get(event.call)
+    if call is None or not _wants_target(state, call, event):
+        _leave_unused(state, event)
+        return []
+    if event.placement is None:
         return give_up(state, call, _no_target_refusal(call))
-    call.answer = None
-    view.in_flight += 1
+    remaining = call.deadline - now
+    if not claim_requests.may_start(state, now, call):
+        _leave_unused(state, event)
+        return give_up(state, call, claim_refusals.claim_late())
+    if event.hedge:
+        budget.spend(state.retries, call.service)
+    return [_launch(state, now, call, event.placement, remaining)]
+
+
+def _wants_target(
+    state: core_state.State, call: models.Call, event: events.TargetChosen
+) -> bool:
+    if event.hedge:
+        return event.placement is not None and hedging.may_start(state, call)
+    return not call.attempts
+
+
+def _leave_unused(state: core_state.State, event: events.TargetChosen) -> None:
+    if event.placement is not None:
+        neutral = routing_models.Ending.NEUTRAL
+        unused = events.PlacementEnded(event.placement, neutral, False)
+        state.inbox.append(unused)
+
+
+def _launch(
+    state: core_state.State,
+    now: float,
+    call: models.Call,
+    placement: int,
+    remaining: float,
+) -> effects.StartAttempt:
+    target = state.routing.placements[placement].view.target
     state.calls.last_attempt += 1
     number = state.calls.last_attempt
-    attempt = models.Attempt(number, call.number, view.target.id, now)
+    attempt = models.Attempt(number, call.number, target.id, now, placement)
     state.calls.attempts[number] = attempt
     call.attempts.add(number)
-    call.tried.add(view.target.id)
-    admission.on_attempt_started(state, call.number, view.target.id)
-    effect = effects.StartAttempt(
+    call.tried.add(target.id)
+    call.answer = None
+    admission.on_attempt_started(state, call.number, target.id)
+    hedging.on_started(state, now, call, number)
+    return effects.StartAttempt(
         call=call.number,
         attempt=number,
-        target=view.target.id,
-        address=view.target.address,
+        target=target.id,
+        address=target.address,
         timeout=min(remaining, call.service.attempt_timeout),
         fresh=not call.idempotent,
         no_retry=call.no_retry or call.service.retry_share > 0,
         not_after=claim_requests.usable_until(state, call),
     )
-    return [effect]
 
 
 def start_retry(
@@ -161,14 +209,16 @@
     attempt = state.calls.attempts.pop(number, None)
     if attempt is None:
         return None
+    state.inbox.append(
+        events.PlacementEnded(
+            attempt.placement, attempt.ending, attempt.draining
+        )
+    )
     call = state.calls.calls.get(attempt.call)
     if call is None:
         return None
     call.attempts.discard(number)
     admission.on_attempt_ended(state, call.number, attempt.target)
-    view = choice.view_of(state.routing, call.service.name, attempt.target)
-    if view is not None:
-        view.in_flight = max(0, view.in_flight - 1)
     return call, attempt
 
 
--- a/src/agateshelf/core/calls/models.py
+++ b/src/agateshelf/core/calls/models.py
@@ -4,6 +4,7 @@
 
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.routing import models as routing_models
 
 
 @dataclasses.dataclass(slots=True)
@@ -15,14 +16,20 @@
         call: Number of its call.
         target: Identifier of its target.
         started: Time it started, in seconds.
+        placement: Number of its placement.
         streaming: Whether its answer is already on its way to the caller.
+        ending: What its end says of its target, as far as it is known.
+        draining: Whether its target said that it is leaving.
     """
 
     number: int
     call: int
     target: str
     started: float
+    placement: int
     streaming: bool = False
+    ending: routing_models.Ending = routing_models.Ending.NEUTRAL
+    draining: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -13,6 +13,7 @@
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
+from agateshelf.core.routing import models as routing_models
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -419,6 +420,59 @@
     | SurveyRequested
 )
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetChosen:
+    """A target was found for a call, or none was (internal).
+
+    Attributes:
+        call: Number of the call.
+        placement: Number of the placement; None if no target fits.
+        hedge: Whether it was looked for while another attempt is in flight.
+    """
+
+    call: int
+    placement: int | None
+    hedge: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementEnded:
+    """An attempt ended, or never began (internal).
+
+    Attributes:
+        placement: Number of its placement.
+        ending: What its end says of the target.
+        draining: Whether the target said that it is leaving.
+    """
+
+    placement: int
+    ending: routing_models.Ending
+    draining: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskOverdue:
+    """The home of a group should have named a target by now (timer)."""
+
+    ask: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HedgeDue:
+    """An attempt takes longer than most do (timer).
+
+    Attributes:
+        call: Number of the call.
+        attempt: Number of the attempt.
+        asked: How often a target for a second attempt was looked for.
+    """
+
+    call: int
+    attempt: int
+    asked: int = 0
+
+
 Event = (
     RequestArrived
     | CallerLeft
@@ -459,4 +513,8 @@
     | SurveyRequested
     | membership_models.MembershipTimer
     | configuration_models.ConfigurationTimer
+    | TargetChosen
+    | PlacementEnded
+    | AskOverdue
+    | HedgeDue
 )
--- /dev/null
+++ b/src/agateshelf/core/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Second attempts of idempotent calls whose first one takes too long."""
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -17,13 +17,16 @@
 from agateshelf.core.claims import requests as claim_requests
 from agateshelf.core.claims import shards as claim_shards
 from agateshelf.core.configuration import handling as configuration
+from agateshelf.core.hedging import rules as hedging
 from agateshelf.core.limits import admission
 from agateshelf.core.limits import lending
 from agateshelf.core.membership import handling as membership
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.poison import messages as poison_messages
 from agateshelf.core.poison import suspects
-from agateshelf.core.routing import choice
+from agateshelf.core.routing import groups
+from agateshelf.core.routing import homes
+from agateshelf.core.routing import placing
 
 
 def reduce(
@@ -49,29 +52,48 @@
     state: core_state.State, now: float, event: events.Event
 ) -> list[effects.Effect]:
     match event:
+        case events.PeerSpoke():
+            return _hand_message(state, now, event)
         case events.RequestArrived():
             return lifecycle.on_request(state, now, event)
+        case events.CallAdmitted():
+            return lifecycle.on_admitted(state, now, event)
+        case events.CallCleared():
+            return lifecycle.on_cleared(state, now, event)
+        case events.TargetChosen():
+            return lifecycle.on_target_chosen(state, now, event)
         case events.AttemptAnswered():
             return ending.on_answer(state, now, event)
+        case events.PlacementEnded():
+            return homes.on_placement_ended(state, now, event)
+        case events.Tick():
+            return _run_due_timers(state, now)
+        case events.HedgeDue():
+            return hedging.on_due(state, now, event)
+        case events.AskOverdue():
+            return placing.on_overdue(state, now, event)
+        case events.DeadlinePassed():
+            return lifecycle.on_deadline(state, event)
+        case _:
+            return _dispatch_rare(state, now, event)
+
+
+def _dispatch_rare(
+    state: core_state.State, now: float, event: events.Event
+) -> list[effects.Effect]:
+    """Handle what does not happen to each call."""
+    match event:
         case events.AttemptFailed():
             return ending.on_failure(state, now, event)
         case events.StreamEnded():
             return ending.on_stream_end(state, now, event)
         case events.CallerLeft():
             return lifecycle.on_caller_left(state, event)
-        case events.DeadlinePassed():
-            return lifecycle.on_deadline(state, event)
         case events.ConfigurationRead():
             claim_pauses.start(state, now)
             return _adopt(state, now, event)
         case events.StopRequested() | events.StopDeadlinePassed():
             return _on_stop(state, now, event)
-        case events.Tick():
-            return _run_due_timers(state, now)
-        case events.CallAdmitted():
-            return lifecycle.on_admitted(state, now, event)
-        case events.CallCleared():
-            return lifecycle.on_cleared(state, now, event)
         case events.CallRejected():
             return lifecycle.on_rejected(state, event)
         case events.CallReplayed():
@@ -103,8 +125,6 @@
             return claim_handling.on_event(state, now, event)
         case events.StoreAnswered():
             return _hand_store_answer(state, now, event)
-        case events.PeerSpoke():
-            return _hand_message(state, now, event)
         case events.Started():
             return [
                 *membership.on_started(state, now, event),
@@ -115,7 +135,7 @@
         case events.InstancesNotListed():
             return membership.on_not_listed(state, now)
         case events.TargetListed():
-            choice.on_target_listed(state.routing, event)
+            groups.adopt_listed(state.routing, event)
             return []
         case events.EntriesSeen():
             return _on_entries(state, now, event)
@@ -136,6 +156,8 @@
 ) -> list[effects.Effect]:
     admission.adopt_entries(state, now, event)
     claim_owners.adopt_entries(state, event)
+    groups.adopt_entries(state, now, event)
+    homes.forget_entries(state, now)
     return []
 
 
@@ -153,6 +175,9 @@
 def _hand_message(
     state: core_state.State, now: float, event: events.PeerSpoke
 ) -> list[effects.Effect]:
+    done = homes.on_message(state, now, event.peer, event.message)
+    if done is not None:
+        return done
     match event.message:
         case (
             claim_messages.RecordsProposed() | claim_messages.RecordsDecided()
@@ -180,7 +205,7 @@
     if event.configuration.version <= state.cfg.version:
         return configuration.on_not_adopted(state, event.configuration.version)
     state.cfg = event.configuration
-    choice.adopt_configuration(state.routing, state.cfg)
+    groups.adopt_configuration(state.routing, state.cfg, now)
     admission.adopt_configuration(state, now)
     return [
         effects.Count("configuration.adopted"),
--- /dev/null
+++ b/src/agateshelf/core/routing/breakers.py
@@ -0,0 +1,133 @@
+"""Circuit breakers: leave a target that fails, try it again carefully."""
+
+import math
+import random
+
+from agateshelf.core.routing import const
+from agateshelf.core.routing import models
+
+_BAD = (
+    models.Ending.ERROR,
+    models.Ending.REFUSED,
+    models.Ending.UNREACHABLE,
+)
+
+
+def error_share(view: models.TargetView, now: float) -> float:
+    """Return the share of errors among a target's latest answers."""
+    _decay(view, now)
+    return view.errors / (view.errors + view.successes + const.ERROR_PRIOR)
+
+
+def _decay(view: models.TargetView, now: float) -> None:
+    passed = now - view.errors_as_of
+    if passed <= 0:
+        return
+    view.errors_as_of = now
+    if view.errors < _NEGLIGIBLE:
+        view.errors = 0.0
+    kept = math.exp(-passed / const.ERROR_SECONDS)
+    view.errors *= kept
+    view.successes *= kept
+
+
+_NEGLIGIBLE = 0.01
+
+
+def learn(
+    view: models.TargetView,
+    now: float,
+    ending: models.Ending,
+    rng: random.Random,
+    *,
+    trial: bool,
+) -> bool:
+    """Learn from an attempt's end; return whether the breaker changed."""
+    breaker = view.breaker
+    if trial:
+        breaker.in_trial = False
+    if ending in _BAD:
+        _decay(view, now)
+        view.errors += 1
+        breaker.errors_in_row += 1
+        return _open_if_due(breaker, now, rng, trial=trial)
+    if ending is models.Ending.ANSWERED:
+        _decay(view, now)
+        view.successes += 1
+        breaker.errors_in_row = 0
+        return _close(view, now)
+    return False
+
+
+def _open_if_due(
+    breaker: models.Breaker, now: float, rng: random.Random, *, trial: bool
+) -> bool:
+    if breaker.open_until is not None and not trial:
+        return False
+    if not trial and breaker.errors_in_row < const.OPEN_AFTER_ERRORS:
+        return False
+    spread = 1 + const.OPEN_JITTER * rng.random()
+    breaker.open_until = now + breaker.period * spread
+    breaker.period = min(breaker.period * 2, const.LONGEST_OPEN_SECONDS)
+    return True
+
+
+def _close(view: models.TargetView, now: float) -> bool:
+    breaker = view.breaker
+    if breaker.open_until is None:
+        return False
+    breaker.open_until = None
+    breaker.period = const.FIRST_OPEN_SECONDS
+    view.errors = 0.0
+    view.warm_at = now + const.RAMP_SECONDS
+    return True
+
+
+def open_by_news(
+    view: models.TargetView, now: float, open_seconds: float
+) -> None:
+    """Follow another entry's word on a target's breaker."""
+    if open_seconds <= 0:
+        _close(view, now)
+        return
+    view.breaker.open_until = now + open_seconds
+
+
+def allows(view: models.TargetView, now: float, wish: models.Wish) -> bool:
+    """Return whether a call may go to a target, be it as a trial.
+
+    A call that can't be repeated makes a poor trial; it goes only if no
+    other came for as long again as the breaker was open.
+    """
+    breaker = view.breaker
+    if breaker.open_until is None:
+        return True
+    if breaker.in_trial or wish.hedge:
+        return False
+    if wish.idempotent:
+        return now >= breaker.open_until
+    return now >= breaker.open_until + breaker.period
+
+
+def note(service: models.ServiceView, view: models.TargetView) -> None:
+    """Keep the set of targets that are out in step with a target's view."""
+    if view.leaving or view.breaker.open_until is not None:
+        service.out.add(view.target.id)
+        return
+    service.out.discard(view.target.id)
+
+
+def distrusts_evidence(service: models.ServiceView) -> bool:
+    """Return whether so many targets look bad that it can't be true.
+
+    If it is true none is left to turn to; if it is not, all the load on the
+    few that look well would end them too.
+    """
+    if not service.out:
+        return False
+    opened = sum(
+        1
+        for name in service.out
+        if service.views[name].breaker.open_until is not None
+    )
+    return opened > len(service.targets) * const.DOUBTED_SHARE
--- a/src/agateshelf/core/routing/choice.py
+++ b/src/agateshelf/core/routing/choice.py
@@ -1,69 +1,122 @@
-"""Power of two choices on the entry's own attempts in flight."""
+"""The choice: the target that is expected to answer soonest.
 
-from collections import abc
-import random
+Only the targets of one group are weighed, so the cost of a choice does not
+grow with the service.
+"""
 
-from agateshelf.core import events
-from agateshelf.core.configuration import models as configuration_models
+from agateshelf.core import state as core_state
+from agateshelf.core.routing import breakers
+from agateshelf.core.routing import const
+from agateshelf.core.routing import evidence
 from agateshelf.core.routing import models
 
 
-def adopt_configuration(
-    routing: models.RoutingState, cfg: configuration_models.Configuration
-) -> None:
-    """Follow a new configuration, keeping what is known of targets."""
-    services = {}
-    for service in cfg.services.values():
-        known = routing.services.get(service.name, {})
-        services[service.name] = {
-            target.id: _view_of(known, target) for target in service.targets
-        }
-    routing.services = services
+def choose(
+    state: core_state.State,
+    now: float,
+    group: models.Group,
+    wish: models.Wish,
+    domain: str,
+) -> models.TargetView | None:
+    """Return the target of a group for a call, or None if none fits.
 
+    Args:
+        state: State of the entry that chooses.
+        now: The time.
+        group: The group to choose from.
+        wish: What the call needs.
+        domain: Failure domain that the call is sent from.
+    """
+    doubts = distrusts_evidence(state, group)
+    best: models.TargetView | None = None
+    best_cost = 0.0
+    reserve: models.TargetView | None = None
+    for view in group.views:
+        if view.leaving or view.target.id in wish.tried:
+            continue
+        if not doubts and not breakers.allows(view, now, wish):
+            continue
+        if now < view.warm_at and not _takes_part(state, view, now):
+            reserve = view
+            continue
+        cost = _expected_seconds(state, now, group, view, domain, doubts)
+        if best is None or cost < best_cost:
+            best = view
+            best_cost = cost
+    if best is None and not wish.hedge:
+        return reserve
+    return best
 
-def _view_of(
-    known: dict[str, models.TargetView], target: configuration_models.Target
-) -> models.TargetView:
-    view = known.get(target.id)
-    if view is None or view.target.address != target.address:
-        return models.TargetView(target)
-    view.target = target
-    return view
 
+def distrusts_evidence(state: core_state.State, group: models.Group) -> bool:
+    """Return whether most of a group's service looks too bad to be true."""
+    service = state.routing.services.get(group.service.name)
+    return service is not None and breakers.distrusts_evidence(service)
 
-def choose(
-    routing: models.RoutingState,
-    service: str,
-    tried: abc.Set[str],
-    rng: random.Random,
-) -> models.TargetView | None:
-    """Return the target for an attempt, or None if there is none left."""
-    views = [
-        view
-        for view in routing.services.get(service, {}).values()
-        if not view.draining
-        and not view.target.draining
-        and view.target.id not in tried
-    ]
-    if not views:
-        return None
-    first = rng.choice(views)
-    second = rng.choice(views)
-    return min(first, second, key=lambda view: view.in_flight)
-
-
-def view_of(
-    routing: models.RoutingState, service: str, target: str
-) -> models.TargetView | None:
-    """Return what is believed of a target, or None if it is not known."""
-    return routing.services.get(service, {}).get(target)
-
-
-def on_target_listed(
-    routing: models.RoutingState, event: events.TargetListed
-) -> None:
-    """Follow the platform's word on whether a target is leaving."""
-    for views in routing.services.values():
-        view = views.get(event.target)
-        if view is not None:
-            view.draining = event.leaving
+
+def is_trial(
+    state: core_state.State, group: models.Group, view: models.TargetView
+) -> bool:
+    """Return whether a call to a target is the trial of its open breaker."""
+    if view.breaker.open_until is None:
+        return False
+    return not distrusts_evidence(state, group)
+
+
+def has_free_slot(group: models.Group, view: models.TargetView) -> bool:
+    """Return whether a target should begin a new request at once."""
+    return view.held < group.service.slots
+
+
+def _takes_part(
+    state: core_state.State, view: models.TargetView, now: float
+) -> bool:
+    """Return whether a target that warms up is considered this time."""
+    progress = 1 - (view.warm_at - now) / const.RAMP_SECONDS
+    return state.rng.random() < max(const.RAMP_FIRST_SHARE, progress)
+
+
+def _expected_seconds(
+    state: core_state.State,
+    now: float,
+    group: models.Group,
+    view: models.TargetView,
+    domain: str,
+    doubts: bool,
+) -> float:
+    evidence.advance(group, view, now)
+    mean = group.mean
+    slots = group.service.slots
+    seconds = mean
+    held = _held(state, now, group, view)
+    if held >= slots:
+        seconds += mean * (held - slots + 1) / slots
+    seconds *= evidence.slowness(group, view)
+    if view.errors and not doubts:
+        share = breakers.error_share(view, now)
+        seconds += share * const.ERROR_MEANS * mean
+    if view.target.failure_domain != domain:
+        seconds += state.routing.crossing
+    # A hair of chance keeps entries from choosing alike.
+    return seconds * (1 + _JITTER * state.rng.random())
+
+
+_JITTER = 0.02
+
+
+def _held(
+    state: core_state.State,
+    now: float,
+    group: models.Group,
+    view: models.TargetView,
+) -> float:
+    """Return the requests that a target probably holds.
+
+    The home knows them. Any other entry takes the load on the latest answer,
+    less the older it is, and what it sent since.
+    """
+    if group.home == state.identity.entry:
+        return view.held
+    age = now - view.reported_at
+    weight = max(0.0, 1 - age / const.REPORT_SECONDS)
+    return max(view.held, view.reported * weight + view.sent_since)
--- a/src/agateshelf/core/routing/diagnostics.py
+++ b/src/agateshelf/core/routing/diagnostics.py
@@ -29,8 +29,8 @@
 
 def beliefs(routing: models.RoutingState) -> abc.Iterator[TargetBelief]:
     """Yield what is believed of every target."""
-    for service, views in routing.services.items():
-        for view in views.values():
+    for service, known in routing.services.items():
+        for view in known.views.values():
             yield TargetBelief(
                 service=service,
                 target=view.target.id,
@@ -45,6 +45,10 @@
     """Return in a few words what is believed of a target, and why."""
     if view.target.draining:
         return "draining (configuration)"
+    if view.listed_leaving:
+        return "draining (instance list)"
     if view.draining:
         return "draining (its own word)"
+    if view.breaker.open_until is not None:
+        return "failing (breaker open)"
     return "live"
--- /dev/null
+++ b/src/agateshelf/core/routing/homes.py
@@ -0,0 +1,208 @@
+"""The home's side: name targets to other entries and hear how it went."""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core.peers import models as peer_models
+from agateshelf.core.routing import breakers
+from agateshelf.core.routing import choice
+from agateshelf.core.routing import const
+from agateshelf.core.routing import evidence
+from agateshelf.core.routing import groups
+from agateshelf.core.routing import messages
+from agateshelf.core.routing import models
+from agateshelf.core.routing import placing
+
+Effects = list[effects.Effect]
+
+_NO_CALL = 0
+
+
+def on_asked(
+    state: core_state.State,
+    now: float,
+    peer: str,
+    message: messages.TargetAsked,
+) -> Effects:
+    """Name a target to another entry and count its attempt in."""
+    service = state.routing.services.get(message.service)
+    if service is None or not 0 <= message.group < service.group_count:
+        return [_named(peer, message.ask, None)]
+    group = groups.group_of(state, service, message.group)
+    _expire_grants(state, now)
+    wish = models.Wish(
+        call=_NO_CALL,
+        service=message.service,
+        tried=frozenset(message.tried),
+        idempotent=message.idempotent,
+        hedge=message.hedge,
+    )
+    domain = state.routing.entries.get(peer, state.identity.failure_domain)
+    view = placing.pick(state, now, group, wish, domain)
+    if view is None:
+        return [_named(peer, message.ask, None)]
+    _grant(state, now, (peer, message.ask), group, view)
+    return [_named(peer, message.ask, view.target.id)]
+
+
+def _named(peer: str, ask: int, target: str | None) -> effects.SendToPeers:
+    return effects.SendToPeers((peer,), messages.TargetNamed(ask, target))
+
+
+def _grant(
+    state: core_state.State,
+    now: float,
+    key: tuple[str, int],
+    group: models.Group,
+    view: models.TargetView,
+) -> None:
+    trial = choice.is_trial(state, group, view)
+    view.breaker.in_trial = view.breaker.in_trial or trial
+    evidence.on_placed(group, view, now)
+    expires = now + group.service.attempt_timeout + const.GRANT_MARGIN_SECONDS
+    state.routing.grants[key] = models.Grant(group, view, expires, trial)
+
+
+def _expire_grants(state: core_state.State, now: float) -> None:
+    """Forget attempts whose end was never told; the oldest come first."""
+    grants = state.routing.grants
+    while grants:
+        key, grant = next(iter(grants.items()))
+        if grant.expires > now:
+            return
+        del grants[key]
+        _drop_grant(grant, now)
+
+
+def _drop_grant(grant: models.Grant, now: float) -> None:
+    evidence.on_ended(grant.group, grant.view, now, models.Ending.NEUTRAL)
+    if grant.trial:
+        grant.view.breaker.in_trial = False
+
+
+def forget_entries(state: core_state.State, now: float) -> None:
+    """Forget the attempts of entries that are gone."""
+    routing = state.routing
+    gone = [key for key in routing.grants if key[0] not in routing.entries]
+    for key in gone:
+        _drop_grant(routing.grants.pop(key), now)
+
+
+def on_settled(
+    state: core_state.State,
+    now: float,
+    peer: str,
+    message: messages.AttemptSettled,
+) -> Effects:
+    """Hear how an attempt at a target that this entry named went."""
+    grant = state.routing.grants.pop((peer, message.ask), None)
+    if grant is None:
+        return []
+    ending = models.Ending(message.ending)
+    evidence.on_ended(grant.group, grant.view, now, ending)
+    return learn(
+        state,
+        now,
+        grant.group,
+        grant.view,
+        ending,
+        trial=grant.trial,
+        draining=message.draining,
+    )
+
+
+def on_placement_ended(
+    state: core_state.State, now: float, event: events.PlacementEnded
+) -> Effects:
+    """Learn from the end of an own attempt and tell its home."""
+    placement = state.routing.placements.pop(event.placement, None)
+    if placement is None:
+        return []
+    view = placement.view
+    view.in_flight = max(0, view.in_flight - 1)
+    evidence.on_ended(placement.group, view, now, event.ending)
+    done = learn(
+        state,
+        now,
+        placement.group,
+        view,
+        event.ending,
+        trial=placement.trial,
+        draining=event.draining,
+        tells=placement.home is None,
+    )
+    if placement.home is not None:
+        word = messages.AttemptSettled(
+            placement.ask, event.ending, event.draining
+        )
+        done.append(effects.SendToPeers((placement.home,), word))
+    return done
+
+
+def learn(
+    state: core_state.State,
+    now: float,
+    group: models.Group,
+    view: models.TargetView,
+    ending: models.Ending,
+    *,
+    trial: bool,
+    draining: bool,
+    tells: bool = True,
+) -> Effects:
+    """Learn what an end says of a target; tell all entries what changed."""
+    changed = breakers.learn(view, now, ending, state.rng, trial=trial)
+    if draining and not view.draining:
+        view.draining = True
+        changed = True
+    service = state.routing.services.get(group.service.name)
+    if changed and service is not None:
+        breakers.note(service, view)
+    if not changed or not tells:
+        return []
+    me = state.identity.entry
+    others = tuple(entry for entry in state.routing.entries if entry != me)
+    if not others:
+        return []
+    open_until = view.breaker.open_until
+    news = messages.TargetTold(
+        service=group.service.name,
+        target=view.target.id,
+        draining=view.draining,
+        open_seconds=0.0 if open_until is None else open_until - now,
+    )
+    return [effects.SendToPeers(others, news)]
+
+
+def on_told(
+    state: core_state.State, now: float, message: messages.TargetTold
+) -> Effects:
+    """Follow another entry's news of a target."""
+    service = state.routing.services.get(message.service)
+    if service is None or message.target not in service.targets:
+        return []
+    view = groups.known_view(service, message.target)
+    view.draining = view.draining or message.draining
+    breakers.open_by_news(view, now, message.open_seconds)
+    breakers.note(service, view)
+    return []
+
+
+def on_message(
+    state: core_state.State,
+    now: float,
+    peer: str,
+    message: peer_models.PeerMessage,
+) -> list[effects.Effect] | None:
+    """Handle a message about targets; None if it is about something else."""
+    match message:
+        case messages.TargetAsked():
+            return on_asked(state, now, peer, message)
+        case messages.TargetNamed():
+            return placing.on_named(state, now, peer, message)
+        case messages.AttemptSettled():
+            return on_settled(state, now, peer, message)
+        case messages.TargetTold():
+            return on_told(state, now, message)
+        case _:
+            return None
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -10,6 +10,7 @@
 from agateshelf.core.claims import models as claim_models
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.configuration import spread_models
+from agateshelf.core.hedging import models as hedging_models
 from agateshelf.core.limits import models as limit_models
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.poison import models as poison_models
@@ -60,6 +61,9 @@
     retries: retry_models.RetriesState = dataclasses.field(
         default_factory=retry_models.RetriesState
     )
+    hedging: hedging_models.HedgingState = dataclasses.field(
+        default_factory=hedging_models.HedgingState
+    )
     inbox: collections.deque[events.Event] = dataclasses.field(
         default_factory=collections.deque
     )
--- a/src/agateshelf/daemon/peers/codec.py
+++ b/src/agateshelf/daemon/peers/codec.py
@@ -16,6 +16,7 @@
 from agateshelf.core.membership import messages as membership_messages
 from agateshelf.core.peers import models
 from agateshelf.core.poison import messages as poison_messages
+from agateshelf.core.routing import messages as routing_messages
 from agateshelf.daemon.peers import const
 
 _TYPES: tuple[type[models.PeerMessage], ...] = (
@@ -36,6 +37,10 @@
     limit_messages.PartsLent,
     poison_messages.CrashSeen,
     poison_messages.SuspectCleared,
+    routing_messages.TargetAsked,
+    routing_messages.TargetNamed,
+    routing_messages.AttemptSettled,
+    routing_messages.TargetTold,
 )
 
 
--- a/tests/core/limits/scenes.py
+++ b/tests/core/limits/scenes.py
@@ -1,5 +1,7 @@
 """Entries for tests of the limits: services, calls and answers."""
 
+import math
+
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import reducer
@@ -48,7 +50,10 @@
 
 def see_entries(state, names, now=0.0):
     seen = tuple(events.LiveEntry(name, "boston") for name in names)
-    return reducer.reduce(state, now, events.EntriesSeen(seen))
+    done = reducer.reduce(state, now, events.EntriesSeen(seen))
+    # No other entry runs here: targets are chosen without asking their homes.
+    state.routing.suspected = dict.fromkeys(names, math.inf)
+    return done
 
 
 def adopt(state, *services):
--- a/tests/core/poison/test_poison.py
+++ b/tests/core/poison/test_poison.py
@@ -1,5 +1,7 @@
 """Tests of poisonous requests, on reducers alone."""
 
+import math
+
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import reducer
@@ -124,6 +126,8 @@
         (events.LiveEntry("e0", "boston"), events.LiveEntry("e1", "boston"))
     )
     reducer.reduce(state, 0.5, seen)
+    # The other entry does not run here: it is not asked for targets.
+    state.routing.suspected["e1"] = math.inf
     told = [
         effect
         for effect in crash_twice(state)
--- /dev/null
+++ b/tests/core/routing/conftest.py
@@ -0,0 +1,71 @@
+"""Fixtures of the tests of routing: reducers that know each other."""
+
+import dataclasses
+
+import pytest
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import reducer
+from agateshelf.core import state as core_state
+from agateshelf.core.configuration import models
+from bench import sizes
+
+DOMAINS = ("boston", "hartford")
+
+
+def create_configuration(targets=4, version=1, **changes):
+    """Create a configuration of one service, `lookups`."""
+    shape = sizes.ServiceShape("lookups", targets, 0.0, models.Priority.URGENT)
+    deployment = sizes.Deployment("test", DOMAINS, 0.001, 2, (shape,))
+    cfg = sizes.create_configuration(
+        deployment, lambda service: dataclasses.replace(service, **changes)
+    )
+    return dataclasses.replace(cfg, version=version)
+
+
+class Entry:
+    """A reducer with shorthands for what a test does to it."""
+
+    def __init__(self, name, cfg):
+        identity = core_state.Identity(name, DOMAINS[0])
+        self.state = core_state.create_state(identity, 7)
+        self.calls = 0
+        self.post(0.0, events.ConfigurationRead(cfg))
+
+    def post(self, now, event):
+        return reducer.reduce(self.state, now, event)
+
+    def know(self, *names):
+        live = tuple(events.LiveEntry(n, DOMAINS[0]) for n in names)
+        return self.post(0.0, events.EntriesSeen(live))
+
+    def arrive(self, now, method="GET", **changes):
+        self.calls += 1
+        request = events.RequestArrived(
+            self.calls, "dealer", method, f"/lookups/{self.calls}", **changes
+        )
+        return self.post(now, request)
+
+    def answer(self, now, attempt, status=200, **changes):
+        answered = events.AttemptAnswered(attempt.attempt, status, **changes)
+        return self.post(now, answered)
+
+
+def started(done):
+    """Return the attempts that the effects start."""
+    return [e for e in done if isinstance(e, effects.StartAttempt)]
+
+
+def sent(done, kind):
+    """Return the messages of a kind that the effects send, with receivers."""
+    return [
+        (e.peers, e.message)
+        for e in done
+        if isinstance(e, effects.SendToPeers) and isinstance(e.message, kind)
+    ]
+
+
+@pytest.fixture
+def entry():
+    return Entry("e0", create_configuration())
