Record whole exchanges as golden files; throw hostile bytes at callers' side

Golden files hold a lookup, a retry, a refusal and a drain: what the caller sent and read, each event and effect, what the target saw.

The property tests throw malformed and split-up bytes at an entry while two proper callers go on.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -44,9 +44,9 @@
         return []
 
 
-@pytest.fixture
-def virtual_run():
-    """Run a coroutine function on a loop in virtual time."""
+@contextlib.contextmanager
+def create_virtual_run():
+    """Yield what runs a coroutine function on a loop in virtual time."""
     clock = VirtualClock()
     with contextlib.ExitStack() as stack:
         stack.enter_context(
@@ -58,6 +58,13 @@
         yield kernel.run
 
 
+@pytest.fixture
+def virtual_run():
+    """Run a coroutine function on a loop in virtual time."""
+    with create_virtual_run() as run:
+        yield run
+
+
 @pytest.fixture
 def running():
     """Yield a system of processes, stopped after the test."""
--- /dev/null
+++ b/tests/daemon/callers/test_hostile_bytes.py
@@ -0,0 +1,148 @@
+"""Malformed and split-up bytes from callers, on one entry with others."""
+
+import itertools
+
+import curio
+import hypothesis
+from hypothesis import strategies
+import pytest
+from tests import conftest as shared
+from tests.daemon import conftest
+from tests.daemon.conftest import plain
+
+WORDS = [
+    b"GET /a HTTP/1.1\r\n",
+    b"POST /b HTTP/1.1\r\n",
+    b"HEAD /c HTTP/1.0\r\n",
+    b"Host: h\r\n",
+    b"Content-Length: 5\r\n",
+    b"Content-Length: -1\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Connection: close\r\n",
+    b"Expect: 100-continue\r\n",
+    b"X: " + b"y" * 2000 + b"\r\n",
+    b" folded\r\n",
+    b"\r\n",
+    b"\n",
+    b"\x00",
+    b"hello",
+    b"5\r\nhello\r\n",
+    b"0\r\n\r\n",
+    b"ffffffffffffffff\r\n",
+    b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+    b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n",
+    b"PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+]
+SESSION = strategies.lists(
+    strategies.one_of(
+        strategies.sampled_from(WORDS), strategies.binary(max_size=40)
+    ),
+    max_size=14,
+)
+CUTS = strategies.lists(strategies.integers(1, 60), max_size=8)
+LIMITS = {
+    "header_bytes": 1024,
+    "request_body_bytes": 1024,
+    "idle_seconds": 3,
+    "request_seconds": 2,
+}
+
+
+async def name_the_caller(seen, _sock):
+    marks = seen.header(b"x-mark")
+    return plain(b"for " + (marks[0] if marks else b"nobody"))
+
+
+def pieces_of(data, cuts):
+    at = 0
+    for size in itertools.chain(cuts, itertools.repeat(len(data) + 1)):
+        if at >= len(data):
+            return
+        yield data[at : at + size]
+        at += size
+
+
+async def throw(rig, data, cuts):
+    """Send the pieces and read to the end; return what was read."""
+    caller = await rig.caller()
+    try:
+        for piece in pieces_of(data, cuts):
+            await caller.send(piece)
+            await curio.sleep(0.01)
+        return await caller.rest()
+    except ConnectionError:
+        return caller.got
+
+
+async def ask_properly(rig, mark):
+    caller = await rig.caller()
+    head = b"GET /mine HTTP/1.1\r\nHost: h\r\nX-Mark: " + mark
+    answers = []
+    for _ in range(3):
+        answer = await caller.ask(head + b"\r\n\r\n")
+        answers.append(answer.body)
+        caller.got = b""
+        await curio.sleep(0.02)
+    await caller.sock.close()
+    return answers
+
+
+async def play(data, cuts):
+    rig = await conftest.create_rig(name_the_caller, LIMITS)
+    tasks = [
+        await curio.spawn(ask_properly, rig, b"%d" % number)
+        for number in range(2)
+    ]
+    async with curio.timeout_after(60):
+        got = await throw(rig, data, cuts)
+        for number, task in enumerate(tasks):
+            assert await task.join() == [b"for %d" % number] * 3
+    await curio.sleep(2)
+    return got, rig
+
+
+@pytest.fixture
+def watched_log(monkeypatch):
+    """Collect the tracebacks that the loop reports of crashed tasks."""
+    crashes = []
+    monkeypatch.setattr(
+        "curio.kernel.log.error", lambda *args, **_: crashes.append(args)
+    )
+    return crashes
+
+
+@hypothesis.given(words=SESSION, cuts=CUTS)
+@hypothesis.settings(
+    max_examples=150,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+def test_hostile_bytes_harm_nobody(watched_log, words, cuts):
+    with shared.create_virtual_run() as run:
+        got, rig = run(play, b"".join(words), cuts)
+    assert watched_log == []
+    assert got == b"" or got.startswith(b"HTTP/1.1 ")
+    assert b"for 0" not in got
+    assert b"for 1" not in got
+    assert rig.open == 0
+    assert rig.budget.held == 0
+    assert rig.driver.exchanges.open == {}
+    assert rig.driver.exchanges.owed.owed == 0
+
+
+@hypothesis.given(cuts=CUTS)
+@hypothesis.settings(max_examples=30)
+def test_split_requests_are_answered_in_order(cuts):
+    request = b"POST /b HTTP/1.1\r\nHost: h\r\nX-Mark: %d\r\n"
+    framings = [
+        b"Content-Length: 5\r\n\r\nhello",
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    ]
+    data = b"".join(
+        request % number + framings[number % 2] for number in range(7)
+    )
+    data += b"GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    with shared.create_virtual_run() as run:
+        got, rig = run(play, data, cuts)
+    bodies = [answer.body for answer in conftest.split_answers(got)]
+    assert bodies == [b"for %d" % n for n in range(7)] + [b"for nobody"]
+    assert b"".join(seen.body for seen in rig.target.seen) == b"hello" * 7
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -210,7 +210,9 @@
     return models.Service(**{**values, **changes})
 
 
-async def create_rig(script, limits=None, **service):
+async def create_rig(
+    script, limits=None, wrap=lambda driver: driver, **service
+):
     """Start an entry and a scripted target."""
     target = ScriptedTarget(script)
     await target.start()
@@ -223,7 +225,7 @@
         limits=settings.Limits(**(limits or {})),
     )
     held = memory.Budget(cfg.limits.held_total_bytes)
-    driver = daemon_main.create_driver(cfg, 1, held)
+    driver = wrap(daemon_main.create_driver(cfg, 1, held))
     caller_server = server.create_server(driver, cfg, held)
     await curio.spawn(driver.run_timers, daemon=True)
     await curio.spawn(driver.targets.run_deadlines, daemon=True)
--- /dev/null
+++ b/tests/golden/test_exchanges.py
@@ -0,0 +1,146 @@
+"""Golden files of whole exchanges: each hop, each event, each effect."""
+
+import dataclasses
+
+import curio
+import pytest
+from tests.daemon.conftest import create_rig
+from tests.daemon.conftest import plain
+
+from agateshelf.core import events
+from agateshelf.core.configuration import models
+from agateshelf.daemon import driver as daemon_driver
+
+GET = b"GET /recall/1 HTTP/1.1\r\nHost: recall.example\r\n\r\n"
+POST = (
+    b"POST /bookings/ HTTP/1.1\r\nHost: bookings.example\r\n"
+    b"Content-Length: 5\r\n\r\nbay=2"
+)
+BACKGROUND = (events.Tick, events.ConfigurationRead)
+
+
+class RecordingDriver(daemon_driver.Driver):
+    """A driver that writes down what it reduces and carries out."""
+
+    async def post(self, event):
+        if not isinstance(event, BACKGROUND):
+            self.lines.append(f"event   {event}")
+        await super().post(event)
+
+    async def _perform(self, effect):
+        self.lines.append(f"effect  {effect}")
+        await super()._perform(effect)
+
+
+def recording(driver):
+    fields = dataclasses.fields(driver)
+    values = {field.name: getattr(driver, field.name) for field in fields}
+    recorder = RecordingDriver(**values)
+    recorder.lines = []
+    return recorder
+
+
+class Session:
+    """One recorded session of a caller."""
+
+    def __init__(self, rig, caller):
+        self.rig = rig
+        self.caller = caller
+        self.lines = rig.driver.lines
+        self.lines.clear()
+
+    async def send(self, data):
+        self.lines.append(f"caller  sends {data!r}")
+        await self.caller.send(data)
+
+    async def read(self, count=1):
+        await self.caller.until(count)
+        self.lines.append(f"caller  reads {self.caller.got!r}")
+        self.caller.got = b""
+
+    def text(self):
+        text = "\n".join(self.lines)
+        for seen in self.rig.target.seen:
+            text += f"\ntarget  saw {seen.method!r} {seen.target!r}"
+            text += f" on connection {seen.connection}"
+            for name, value in seen.headers:
+                text += f"\n          {name.decode()}: {value.decode()}"
+            text += f"\n          {seen.body!r}"
+        return text.replace(self.rig.target.address, "TARGET")
+
+
+async def add_twin(rig):
+    (service,) = rig.driver.state.cfg.services.values()
+    (target,) = service.targets
+    twin = dataclasses.replace(target, id="t1")
+    changed = dataclasses.replace(service, targets=(target, twin))
+    cfg = models.Configuration(2, {service.name: changed})
+    await rig.driver.post(events.ConfigurationRead(cfg))
+
+
+@pytest.fixture
+def record(virtual_run):
+    def run(script, play, targets=1):
+        async def body():
+            rig = await create_rig(script, wrap=recording)
+            if targets > 1:
+                await add_twin(rig)
+            session = Session(rig, await rig.caller())
+            await play(session)
+            return session.text()
+
+        return virtual_run(body)
+
+    return run
+
+
+async def answer_at_once(_seen, _sock):
+    extra = b"Content-Type: text/plain\r\n"
+    extra += b"Target-Load: in-flight=1, queued=0, slots=2\r\n"
+    return plain(b"no open recall", extra=extra)
+
+
+async def one_request(session, data=GET):
+    await session.send(data)
+    await session.read()
+
+
+def test_plain_lookup(record, snapshot):
+    assert record(answer_at_once, one_request) == snapshot
+
+
+def test_retry(record, snapshot):
+    async def fail_first(seen, sock):
+        if seen.connection == 1:
+            return None
+        return await answer_at_once(seen, sock)
+
+    assert record(fail_first, one_request, targets=2) == snapshot
+
+
+def test_refusal(record, snapshot):
+    async def go_away(_seen, _sock):
+        return None
+
+    async def book(session):
+        await one_request(session, POST)
+
+    assert record(go_away, book, targets=2) == snapshot
+
+
+def test_drain(record, snapshot):
+    async def answer_late(seen, sock):
+        await curio.sleep(0.3)
+        return await answer_at_once(seen, sock)
+
+    async def stop_meanwhile(session):
+        await session.send(GET)
+        await curio.sleep(0.1)
+        session.lines.append("entry   is asked to stop")
+        await session.rig.driver.post(events.StopRequested())
+        await session.rig.server.stop()
+        await session.read()
+        rest = await session.caller.rest()
+        session.lines.append(f"caller  reads to the end {rest!r}")
+
+    assert record(answer_late, stop_meanwhile) == snapshot
