Check a target after a kept connection to it was lost

On real processes a booking that crashes targets took a third one: the first loss was on a kept connection and not yet confirmed when the booking came again. The target is now asked for a connection at once; refused means crashed.

--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -41,6 +41,14 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckTarget:
+    """Look whether a target still takes connections."""
+
+    target: str
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeliverAnswer:
     """Pass an attempt's answer to the caller."""
@@ -187,6 +195,7 @@
 Effect = (
     StartAttempt
     | CancelAttempt
+    | CheckTarget
     | DeliverAnswer
     | Replay
     | Refuse
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -88,6 +88,13 @@
     body: bytes | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetRefused:
+    """A target that was to be checked refused a connection."""
+
+    target: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamEnded:
     """The rest of a streaming answer arrived or broke off."""
@@ -477,6 +484,7 @@
     RequestArrived
     | CallerLeft
     | AttemptAnswered
+    | TargetRefused
     | StreamEnded
     | AttemptFailed
     | ConfigurationRead
--- a/src/agateshelf/core/poison/evidence.py
+++ b/src/agateshelf/core/poison/evidence.py
@@ -2,8 +2,8 @@
 
 A connection lost after sending is a cut. It counts as a crash if it was a new
 connection, if another one to the target is lost at about the same time, or if
-the target soon refuses a connection. A request that is answered is cleared, so
-that bystanders of a crash are not suspected for long.
+the target refuses a connection right after. A request that is answered is
+cleared, so that bystanders of a crash are not suspected for long.
 """
 
 from collections import abc
@@ -19,6 +19,7 @@
 from agateshelf.core.poison import messages
 from agateshelf.core.poison import models
 from agateshelf.core.poison import suspects
+from agateshelf.core.routing import choice
 
 _FINGERPRINT_BYTES = 16
 _LENGTH_BYTES = 4
@@ -99,7 +100,17 @@
     state.poison.cuts.append(cut)
     if len(state.poison.cuts) > const.MAX_CUTS:
         state.poison.cuts.popleft()
-    return []
+    view = choice.view_of(state.routing, call.service.name, attempt.target)
+    if view is None:
+        return []
+    return [effects.CheckTarget(attempt.target, view.target.address)]
+
+
+def on_refused(
+    state: core_state.State, now: float, event: events.TargetRefused
+) -> list[effects.Effect]:
+    """Take a target that refuses connections for crashed."""
+    return _confirm(state, now, event.target, const.CONFIRM_SECONDS)
 
 
 def on_answer(
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -22,6 +22,7 @@
 from agateshelf.core.limits import lending
 from agateshelf.core.membership import handling as membership
 from agateshelf.core.membership import models as membership_models
+from agateshelf.core.poison import evidence as poison
 from agateshelf.core.poison import messages as poison_messages
 from agateshelf.core.poison import suspects
 from agateshelf.core.routing import groups
@@ -137,6 +138,8 @@
         case events.TargetListed():
             groups.adopt_listed(state.routing, event)
             return []
+        case events.TargetRefused():
+            return poison.on_refused(state, now, event)
         case events.EntriesSeen():
             return _on_entries(state, now, event)
         case (
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -22,6 +22,7 @@
 from agateshelf.daemon.platform import instances
 from agateshelf.daemon.platform import store
 from agateshelf.daemon.targets import answers
+from agateshelf.daemon.targets import checking
 from agateshelf.daemon.targets import client
 from agateshelf.daemon.targets import progress
 from agateshelf.documents import configuration
@@ -96,6 +97,10 @@
                 await self._start(effect)
             case effects.CancelAttempt():
                 self.targets.cancel(effect.attempt)
+            case effects.CheckTarget():
+                await curio.spawn(
+                    checking.check, effect, self.post, daemon=True
+                )
             case effects.DeliverAnswer():
                 await self._deliver(effect)
             case effects.Replay():
--- /dev/null
+++ b/src/agateshelf/daemon/targets/checking.py
@@ -0,0 +1,26 @@
+"""Whether a target still takes connections, after one to it was lost."""
+
+from collections import abc
+
+import curio
+
+from agateshelf.core import effects
+from agateshelf.core import events
+
+_CHECK_SECONDS = 0.5
+
+Post = abc.Callable[[events.Event], abc.Awaitable[None]]
+
+
+async def check(effect: effects.CheckTarget, post: Post) -> None:
+    """Open and close a connection; post an event if it is refused."""
+    host, _, port = effect.address.rpartition(":")
+    try:
+        async with curio.timeout_after(_CHECK_SECONDS):
+            sock = await curio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        await post(events.TargetRefused(effect.target))
+        return
+    except (OSError, curio.TaskTimeout):
+        return
+    await sock.close()
--- a/tests/core/poison/test_poison.py
+++ b/tests/core/poison/test_poison.py
@@ -114,6 +114,14 @@
     assert len(state.poison.suspects) == 1
 
 
+def test_a_lost_kept_connection_has_its_target_checked(state):
+    first = started(arrive(state, 1, method="POST"))
+    done = cut(state, first, kept=True)
+    assert effects.CheckTarget(first.target, first.address) in done
+    reducer.reduce(state, 1.2, events.TargetRefused(first.target))
+    assert len(state.poison.suspects) == 1
+
+
 def test_an_expired_kept_connection_alone_is_no_crash(state):
     for number in range(4):
         first = started(arrive(state, number, now=1.0 + number, method="POST"))
