--- a/src/agateshelf/core/poison/evidence.py
+++ b/src/agateshelf/core/poison/evidence.py
@@ -19,7 +19,7 @@
 from agateshelf.core.poison import messages
 from agateshelf.core.poison import models
 from agateshelf.core.poison import suspects
-from agateshelf.core.routing import choice
+from agateshelf.core.routing import groups
 
 _FINGERPRINT_BYTES = 16
 _LENGTH_BYTES = 4
@@ -100,7 +100,7 @@
     state.poison.cuts.append(cut)
     if len(state.poison.cuts) > const.MAX_CUTS:
         state.poison.cuts.popleft()
-    view = choice.view_of(state.routing, call.service.name, attempt.target)
+    view = groups.view_of(state.routing, call.service.name, attempt.target)
     if view is None:
         return []
     return [effects.CheckTarget(attempt.target, view.target.address)]
