Prove what happens on kept, silent, late and deaf connections

Tests on an entry in virtual time: a non-idempotent request runs on a connection that answered within a quarter of a second or on a new one; the elders of a silent connection are closed; its failure is marked as one of a kept connection; a late answer is nobody's; bytes that nobody asked for end a connection; a connection that is never accepted is given up after a second as not run.

--- /dev/null
+++ b/tests/daemon/targets/test_connections.py
@@ -0,0 +1,149 @@
+"""Kept connections to targets: fresh, silent, late and never accepted."""
+
+import socket
+
+import curio
+import pytest
+from tests.daemon import conftest
+from tests.daemon.conftest import plain
+
+from agateshelf.core import events
+from agateshelf.core.configuration import models
+from agateshelf.core.outcomes import models as outcome_models
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+
+
+async def answer(seen, _sock):
+    await curio.sleep(0.01)
+    return plain(b"on %d" % seen.connection)
+
+
+async def ask(rig, data=GET):
+    caller = await rig.caller()
+    got = await caller.ask(data)
+    await caller.sock.close()
+    return got
+
+
+def test_non_idempotent_request_runs_on_a_fresh_connection(serve):
+    async def test(rig):
+        assert (await ask(rig, POST)).body == b"on 1"
+        assert (await ask(rig, POST)).body == b"on 1"
+        await curio.sleep(1.0)
+        assert (await ask(rig, GET)).body == b"on 1"
+        await curio.sleep(1.0)
+        assert (await ask(rig, POST)).body == b"on 2"
+
+    serve(answer, test)
+
+
+def test_elders_of_a_silent_connection_are_not_used(serve):
+    silent = set()
+
+    async def fall_silent(seen, sock):
+        if seen.connection in silent:
+            await curio.sleep(3600)
+        return await answer(seen, sock)
+
+    async def test(rig):
+        tasks = [await curio.spawn(ask, rig) for _ in range(4)]
+        for task in tasks:
+            await task.join()
+        silent.update(range(1, 5))
+        await curio.sleep(1.0)
+        assert (await ask(rig)).status in (502, 504)
+        before = await curio.clock()
+        assert (await ask(rig)).body == b"on 5"
+        assert await curio.clock() - before < 0.5
+
+    serve(fall_silent, test)
+
+
+def test_failure_on_a_kept_connection_is_said_to_be_one(serve, monkeypatch):
+    asked = []
+
+    async def fall_silent(seen, sock):
+        asked.append(seen)
+        if len(asked) > 1:
+            await curio.sleep(3600)
+        return await answer(seen, sock)
+
+    async def test(rig):
+        failed = []
+        post = type(rig.driver).post
+
+        async def watched(self, event):
+            if isinstance(event, events.AttemptFailed):
+                failed.append(event)
+            await post(self, event)
+
+        monkeypatch.setattr(type(rig.driver), "post", watched)
+        await ask(rig)
+        await ask(rig)
+        assert [end.kept_connection for end in failed] == [True]
+        assert failed[0].kind is outcome_models.FailureKind.TIMEOUT
+
+    serve(fall_silent, test)
+
+
+def test_late_answer_is_nobodys_and_its_connection_is_closed(serve):
+    async def late_first(seen, _sock):
+        if len(order) == 0:
+            order.append(seen)
+            await curio.sleep(2.5)
+            return plain(b"late")
+        return plain(b"in time")
+
+    order = []
+
+    async def test(rig):
+        assert (await ask(rig)).status in (502, 504)
+        assert (await ask(rig)).body == b"in time"
+        await curio.sleep(2)
+        assert (await ask(rig)).body == b"in time"
+        assert rig.target.connections == 2
+        assert rig.target.closed >= 1
+        assert rig.driver.targets.running == {}
+
+    serve(late_first, test)
+
+
+def test_bytes_that_nobody_asked_for_end_a_kept_connection(serve):
+    async def say_more(seen, sock):
+        if seen.connection == 1:
+            await sock.sendall(plain(b"mine"))
+            await curio.sleep(0.1)
+            return plain(b"not yours")
+        return plain(b"yours")
+
+    async def test(rig):
+        assert (await ask(rig)).body == b"mine"
+        await curio.sleep(0.15)
+        assert (await ask(rig)).body == b"yours"
+
+    serve(say_more, test)
+
+
+def test_connection_that_is_never_accepted_is_given_up_as_not_run(serve):
+    async def test(rig):
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as deaf:
+            waiting = [socket.socket() for _ in range(3)]
+            for sock in waiting:
+                sock.setblocking(False)
+                sock.connect_ex(deaf.getsockname())
+            host, port = deaf.getsockname()
+            policy = conftest.service_of(f"{host}:{port}")
+            cfg = models.Configuration(2, {policy.name: policy})
+            await rig.driver.post(events.ConfigurationRead(cfg))
+            before = await curio.clock()
+            got = await ask(rig, POST)
+            took = await curio.clock() - before
+            for sock in waiting:
+                sock.close()
+        assert got.status in (502, 503)
+        assert b"agateshelf-outcome: not-run" in got.head.lower()
+        assert took == pytest.approx(1.0, abs=0.3)
+
+    serve(answer, test, attempt_timeout=4.0)
