Take callers and administration by TLS, replacing certificates in place

settings: callers and administration may name a certificate and key. The files' times are looked at once a second at most when a connection comes; a changed pair is taken for new connections, an unreadable one leaves the old in force with a warning. An unusable certificate at the start is one line and status 2. Half-closing an encrypted socket by its own method drops the encryption, so the sides of connections are shut below it. A failed accept no longer ends accepting, and callers' connections have Nagle's algorithm off.

--- a/src/agateshelf/daemon/callers/reading.py
+++ b/src/agateshelf/daemon/callers/reading.py
@@ -44,6 +44,7 @@
         expired: Whether it stood still for too long.
         call: Number of the call whose final word it waits for.
         left: Whether the caller has closed its side.
+        scheme: `http`, or `https` on an encrypted connection.
         deaf: Whether this side has ended reading.
     """
 
@@ -61,6 +62,7 @@
     call: int | None = None
     left: bool = False
     deaf: bool = False
+    scheme: bytes = b"http"
 
     def enter(self, phase: Phase) -> None:
         """Go over to another phase."""
@@ -162,6 +164,7 @@
         body=body,
         peer=conn.peer,
         http_version=bytes(head.http_version),
+        scheme=conn.scheme,
     )
 
 
--- a/src/agateshelf/daemon/callers/server.py
+++ b/src/agateshelf/daemon/callers/server.py
@@ -8,6 +8,7 @@
 
 from agateshelf.core import events
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.daemon import certificates
 from agateshelf.daemon import clock
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import messages
@@ -63,6 +64,8 @@
             self.limits,
             self.budget,
         )
+        if certificates.is_secure(sock):
+            conn.scheme = b"https"
         self.watcher.add(conn)
         self.driver.exchanges.owed.open()
         try:
@@ -80,19 +83,20 @@
         self.stopping = True
         for watched in list(self.watcher.connections.values()):
             if watched.conn.phase is reading.Phase.IDLE:
-                await watching.cut(watched.conn)
+                watching.cut(watched.conn)
 
     async def _serve_requests(self, conn: reading.CallerConnection) -> None:
         while True:
             if self.stopping:
                 conn.enter(reading.Phase.IDLE)
-                await watching.cut(conn)
+                watching.cut(conn)
             try:
                 request = await reading.read_request(conn)
             except reading.BadRequestError as exc:
                 await self._answer_malformed(conn, exc)
                 return
             if request is None or conn.left:
+                certificates.say_goodbye(conn.sock)
                 return
             go_on = await self._serve_request(conn, request)
             conn.release()
--- a/src/agateshelf/daemon/callers/watching.py
+++ b/src/agateshelf/daemon/callers/watching.py
@@ -14,6 +14,7 @@
 
 import curio
 
+from agateshelf.daemon import certificates
 from agateshelf.daemon import clock
 from agateshelf.daemon.callers import reading
 
@@ -65,7 +66,7 @@
         for look in itertools.count():
             await self._notice_departures()
             if look % _LOOKS_PER_DEADLINE_CHECK == 0:
-                await self._keep_deadlines(clock.now())
+                self._keep_deadlines(clock.now())
             await curio.sleep(_LOOK_SECONDS)
 
     async def _notice_departures(self) -> None:
@@ -78,7 +79,7 @@
             if watched.conn.call is not None:
                 await self.on_left(watched.conn.call)
 
-    async def _keep_deadlines(self, now: float) -> None:
+    def _keep_deadlines(self, now: float) -> None:
         for watched in list(self.connections.values()):
             conn = watched.conn
             if watched.steps != conn.steps:
@@ -86,7 +87,7 @@
                 watched.deadline = now + _seconds_allowed(conn)
             elif watched.deadline <= now and not conn.expired:
                 conn.expired = True
-                await cut(conn)
+                cut(conn)
 
 
 def _seconds_allowed(conn: reading.CallerConnection) -> float:
@@ -99,14 +100,14 @@
             return math.inf
 
 
-async def cut(conn: reading.CallerConnection) -> None:
+def cut(conn: reading.CallerConnection) -> None:
     """Wake the task that reads or writes on a connection, to end it."""
     conn.deaf = True
     how = socket.SHUT_RD
     if conn.phase is reading.Phase.WRITING:
         how = socket.SHUT_RDWR
     with contextlib.suppress(OSError):
-        await conn.sock.shutdown(how)
+        certificates.shut(conn.sock, how)
 
 
 def create_watcher(on_left: OnLeft) -> Watcher:
--- a/src/agateshelf/daemon/callers/writing.py
+++ b/src/agateshelf/daemon/callers/writing.py
@@ -7,6 +7,7 @@
 import curio
 import h11
 
+from agateshelf.daemon import certificates
 from agateshelf.daemon import messages
 from agateshelf.daemon.callers import const
 from agateshelf.daemon.callers import problems
@@ -154,8 +155,9 @@
     Closing at once with bytes of the caller unread would reset the connection
     and could take the answer with it.
     """
+    certificates.say_goodbye(conn.sock)
     with contextlib.suppress(OSError):
-        await conn.sock.shutdown(socket.SHUT_WR)
+        certificates.shut(conn.sock, socket.SHUT_WR)
         async with curio.ignore_after(const.LINGER_SECONDS):
             while await conn.sock.recv(const.READ_BYTES):
                 pass
--- a/src/agateshelf/daemon/listening.py
+++ b/src/agateshelf/daemon/listening.py
@@ -3,14 +3,20 @@
 from collections import abc
 import contextlib
 import dataclasses
+import socket
 from typing import Any
 
 import curio
 import curio.network
+import logbook
 
+from agateshelf.daemon import certificates
 from agateshelf.documents import settings
 
 _BACKLOG = 512
+_ACCEPT_PAUSE_SECONDS = 0.05
+
+_log = logbook.Logger("listening")
 
 Serve = abc.Callable[[Any, tuple[str, int]], abc.Awaitable[None]]
 
@@ -22,11 +28,13 @@
     Attributes:
         sock: The listening socket.
         serve: Serves one connection.
+        secured: Certificate for TLS, or None for plain connections.
         task: The task that accepts connections.
     """
 
     sock: curio.io.Socket
     serve: Serve
+    secured: certificates.Certificates | None = None
     task: curio.Task | None = None
 
     @property
@@ -58,7 +66,12 @@
 
     async def _accept(self) -> None:
         while True:
-            sock, address = await self.sock.accept()
+            try:
+                sock, address = await self.sock.accept()
+            except OSError as exc:
+                _log.warning("Connection not accepted: {}.", exc)
+                await curio.sleep(_ACCEPT_PAUSE_SECONDS)
+                continue
             await self._spawn(sock, address)
 
     async def _spawn(
@@ -69,17 +82,35 @@
     async def _serve_one(
         self, sock: curio.io.Socket, address: tuple[str, int]
     ) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.secured is not None:
+            try:
+                sock = await self.secured.secure(sock)
+            except OSError as exc:
+                _log.debug("Handshake failed: {}.", exc)
+                return
         async with sock:
             await self.serve(sock, address)
 
 
-def create_listener(listen: settings.Listen, serve: Serve) -> Listener:
+def create_listener(
+    listen: settings.SecureListen, serve: Serve, path: str
+) -> Listener:
     """Create a listener.
 
+    Args:
+        listen: Where to listen.
+        serve: Serves one connection.
+        path: Place in the settings, for errors.
+
     Raises:
+        DocumentError: The certificate can't be used.
         OSError: The address can't be bound.
     """
     sock = curio.network.tcp_server_socket(
         listen.host, listen.port, backlog=_BACKLOG
     )
-    return Listener(sock, serve)
+    secured: certificates.Certificates | None = None
+    if listen.tls is not None:
+        secured = certificates.create_certificates(listen.tls, f"{path}/tls")
+    return Listener(sock, serve, secured)
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -58,7 +58,11 @@
         sys.exit(const.EXIT_BAD_INPUT)
     _spare_the_collector()
     with logs.create_handler(cfg.logs).applicationbound():
-        curio.run(run, cfg)
+        try:
+            curio.run(run, cfg)
+        except exceptions.DocumentError as exc:
+            click.echo(f"agateshelfd: settings: {exc}", err=True)
+            sys.exit(const.EXIT_BAD_INPUT)
 
 
 def _spare_the_collector() -> None:
@@ -129,9 +133,11 @@
     administration_server = administration.AdministrationServer(
         driver, cfg.limits, cfg.administration.token_sha256
     )
-    listener = listening.create_listener(cfg.callers, caller_server.serve)
+    listener = listening.create_listener(
+        cfg.callers, caller_server.serve, "/callers"
+    )
     administration_listener = listening.create_listener(
-        cfg.administration, administration_server.serve
+        cfg.administration, administration_server.serve, "/administration"
     )
     stop_signals = signals.create_signals((signal.SIGTERM, signal.SIGINT))
     async with curio.TaskGroup(wait=None) as group:
--- a/src/agateshelf/documents/settings.py
+++ b/src/agateshelf/documents/settings.py
@@ -30,7 +30,20 @@
     port: Port
 
 
-class AdministrationListen(Listen):
+class Tls(check.Document):
+    """Files of a certificate chain and its key, in PEM."""
+
+    certificate: str
+    key: str
+
+
+class SecureListen(Listen):
+    """Where to listen, with TLS if it names a certificate."""
+
+    tls: Tls | None = None
+
+
+class AdministrationListen(SecureListen):
     """Where to listen for administration, and the operators' own tokens.
 
     Attributes:
@@ -114,7 +127,7 @@
 
     entry: EntryName
     failure_domain: Annotated[str, pydantic.Field(min_length=1)]
-    callers: Listen
+    callers: SecureListen
     administration: AdministrationListen
     platform: Platform
     peers: Peers | None = None
