--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -244,6 +244,13 @@
         when = self.now + self.store.latency
         self.at(when, lambda: self._answer(node, effect, answer))
 
+    def begin_outage(self) -> None:
+        """Take the store away, with what waits for it."""
+        self.store.away = True
+        watches, self._watches = self._watches, []
+        for node, effect in watches:
+            self._answer(node, effect, _NO_ANSWER)
+
     def _wait_for_change(
         self, node: Node, effect: effects.AskStore, watch: storage.Watch
     ) -> None:
@@ -263,8 +270,9 @@
             answer = self.store.answer(effect.body, self.now)
             if isinstance(answer, storage.Changes) and answer.keys:
                 self._watches.remove((node, effect))
-                if not self.store.away and node.name not in self.store_away_at:
-                    self._answer(node, effect, answer)
+                if node.name in self.store_away_at:
+                    answer = _NO_ANSWER
+                self._answer(node, effect, answer)
 
     def _answer(
         self,
--- a/bench/main.py
+++ b/bench/main.py
@@ -5,10 +5,12 @@
 from bench import bookings
 from bench import decisions
 from bench import report
+from bench import spread
 
 _PARTS = (
     decisions,
     bookings,
+    spread,
 )
 
 
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -20,11 +20,14 @@
 
 _LOSS = 0.1
 _TARGETS = 13
-_SETTLE_SECONDS = 4.0
+_SETTLE_SECONDS = 3.5
 _SPREAD_SECONDS = 19.0
 _MOST_BYTES_PER_SECOND = 4096.0
 _MOST_STORE_CALLS_FACTOR = 2.0
 _SEEDS_AT_START = 3
+_STEADY_SECONDS = 6.0
+_OUTAGE_SECONDS = 6.0
+_MOST_CALLS_AFTER_OUTAGE = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +40,7 @@
         patches: Patches to measure, one after another.
         patch_seconds: Seconds from one patch to the next.
         replaced: Entries replaced within each patch's time.
+        after_seconds: Seconds watched after the outage.
         bound: Most seconds until a patch is in force; None without bound.
     """
 
@@ -45,14 +49,15 @@
     patches: int
     patch_seconds: float
     replaced: int
+    after_seconds: float
     bound: float | None
 
 
 _SIZES = (
-    Size(16, 6, 20, 8.0, 1, 5.0),
-    Size(64, 20, 8, 8.0, 1, None),
-    Size(256, 82, 4, 8.0, 1, None),
-    Size(1024, 330, 2, 8.0, 1, _SPREAD_SECONDS),
+    Size(16, 6, 20, 8.0, 1, 60.0, 5.0),
+    Size(64, 20, 8, 8.0, 1, 60.0, None),
+    Size(256, 82, 4, 8.0, 1, 60.0, None),
+    Size(1024, 330, 2, 6.0, 1, 8.0, _SPREAD_SECONDS),
 )
 
 
@@ -62,13 +67,15 @@
 
     Attributes:
         seconds: Time until each patch was in force everywhere.
-        store_calls: Calls of the store a second.
+        store_calls: Calls of the store a second, with a patch in the time.
+        calls_after_outage: Calls of the store a second after an outage.
         mean_bytes: Bytes a second that an entry sent to peers, on average.
         most_bytes: Bytes a second of the entry that sent most.
     """
 
     seconds: list[float]
     store_calls: float
+    calls_after_outage: float
     mean_bytes: float
     most_bytes: float
 
@@ -101,6 +108,12 @@
         report.Figure(f"{name}/p50", ordered[len(ordered) // 2], "s"),
         report.Figure(f"{name}/worst", ordered[-1], "s", bound),
         report.Figure(f"{name}/store-calls", outcome.store_calls, "calls/s"),
+        report.Figure(
+            f"{name}/store-calls-after-outage",
+            outcome.calls_after_outage,
+            "calls/s",
+            report.Bound(report.Side.AT_MOST, _MOST_CALLS_AFTER_OUTAGE),
+        ),
         report.Figure(f"{name}/mean-bytes", outcome.mean_bytes, "B/s/node"),
         report.Figure(
             f"{name}/most-bytes", outcome.most_bytes, "B/s/node", most
@@ -114,8 +127,8 @@
     names = sorted(fleet.nodes)
     writer = names[0]
     fleet.loss = _LOSS
+    store_calls = _steady_calls(fleet, size, writer)
     fleet.store_away_at = set(names) - {writer}
-    fleet.store_calls.clear()
     fleet.bytes_sent.clear()
     began = fleet.now
     seconds = [
@@ -123,14 +136,36 @@
         for operation in range(1, size.patches + 1)
     ]
     lasted = fleet.now - began
+    mean_bytes = sum(fleet.bytes_sent.values()) / lasted / len(names)
+    most_bytes = max(fleet.bytes_sent.values()) / lasted
+    fleet.store_away_at = set()
     return Outcome(
         seconds,
-        sum(fleet.store_calls.values()) / lasted,
-        sum(fleet.bytes_sent.values()) / lasted / len(names),
-        max(fleet.bytes_sent.values()) / lasted,
+        store_calls,
+        _calls_after_outage(fleet, size.after_seconds),
+        mean_bytes,
+        most_bytes,
     )
 
 
+def _steady_calls(fleet: fleets.Fleet, size: Size, writer: str) -> float:
+    """Return the store's calls a second with a patch in the time."""
+    steady = dataclasses.replace(size, patch_seconds=_STEADY_SECONDS)
+    fleet.store_calls.clear()
+    _time_patch(fleet, steady, writer, size.patches + 1)
+    return sum(fleet.store_calls.values()) / _STEADY_SECONDS
+
+
+def _calls_after_outage(fleet: fleets.Fleet, seconds: float) -> float:
+    """Return the store's calls a second once an outage is over."""
+    fleet.begin_outage()
+    fleet.run_for(_OUTAGE_SECONDS)
+    fleet.store.away = False
+    fleet.store_calls.clear()
+    fleet.run_for(seconds)
+    return sum(fleet.store_calls.values()) / seconds
+
+
 def _create_settled_fleet(size: Size) -> fleets.Fleet:
     """Create entries that know each other and have version 1 in force."""
     fleet = fleets.Fleet(random.Random(size.entries))
--- a/src/agateshelf/core/configuration/spreading.py
+++ b/src/agateshelf/core/configuration/spreading.py
@@ -21,7 +21,7 @@
     parts: tuple[content.Part, ...]
 
 
-_COMPRESSION_LEVEL = 1
+_COMPRESSION_LEVEL = 6
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Changes)
@@ -92,13 +92,20 @@
 
 
 def _next_peer(state: core_state.State, pull: spread_models.Pull) -> str | None:
-    """Return another peer that has the version, so that all share the work."""
+    """Return another peer for the next chunk, so that all share the work.
+
+    The first chunk comes from one known to have the version. For the others
+    the neighbours serve as well: by then most have it, and one that has not
+    costs no more than a timeout.
+    """
     heard = state.configuration.heard
-    peers = sorted(p for p, version in heard.items() if version >= pull.version)
-    others = [peer for peer in peers if peer != pull.peer]
+    peers = {p for p, version in heard.items() if version >= pull.version}
+    if pull.chunks:
+        peers.update(view.neighbours(state))
     if not peers:
         return None
-    return state.rng.choice(others or peers)
+    others = peers - {pull.peer}
+    return state.rng.choice(sorted(others or peers))
 
 
 def on_pull_due(
@@ -185,6 +192,8 @@
     pull = cfg.pull
     if pull is None or (pull.peer, pull.serial) != (peer, message.number):
         return []
+    if message.version < pull.version:
+        return []
     key = (message.version, message.base_version, message.digest)
     if pull.key is None:
         pull.key = key
--- a/tests/core/configuration/test_spread.py
+++ b/tests/core/configuration/test_spread.py
@@ -42,7 +42,7 @@
     fleet, operators
 ):
     operators.accept("entry-0", 0)
-    fleet.store.away = True
+    fleet.begin_outage()
     fleet.run_for(300.0)
     assert helpers.versions(fleet) == {1}
     node = fleet.start("entry-8", ["entry-2"])
@@ -52,7 +52,7 @@
 
 
 def test_a_new_entry_is_not_ready_when_nobody_has_it(fleet):
-    fleet.store.away = True
+    fleet.begin_outage()
     node = fleet.start("entry-8", ["entry-2"])
     fleet.run_for(60.0)
     assert node.state.cfg.version == 0
@@ -60,7 +60,7 @@
 
 def test_after_an_outage_there_is_no_stampede(fleet, operators):
     operators.accept("entry-0", 0)
-    fleet.store.away = True
+    fleet.begin_outage()
     fleet.store_calls.clear()
     fleet.run_for(600.0)
     assert sum(fleet.store_calls.values()) < 300
@@ -74,7 +74,7 @@
     fleet, operators
 ):
     operators.accept("entry-0", 0)
-    fleet.store.away = True
+    fleet.begin_outage()
     names = sorted(fleet.nodes)
     for name in names:
         fleet.nodes[name].alive = False
--- a/tests/daemon/peers/test_codec.py
+++ b/tests/daemon/peers/test_codec.py
@@ -10,6 +10,7 @@
 from agateshelf.core.configuration import messages
 from agateshelf.core.membership import messages as membership_messages
 from agateshelf.core.membership import models
+from agateshelf.core.peers import models as peer_models
 from agateshelf.daemon.peers import codec
 
 MEMBER = models.Member("e1", 3, models.Status.LEAVING, "127.0.0.1:1", "boston")
@@ -54,3 +55,8 @@
 def test_any_bytes_are_read_or_refused(data):
     with contextlib.suppress(codec.MessageError):
         codec.decode(data)
+
+
+def test_every_message_between_entries_is_known():
+    named = {kind.__name__ for kind in peer_models.PeerMessage.__subclasses__()}
+    assert named == set(codec._decoders)
