--- a/bench/entries.py
+++ b/bench/entries.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 
-import msgspec
-
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import reducer
@@ -12,28 +10,58 @@
 from agateshelf.core import timers
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
+from agateshelf.daemon.peers import codec
 from bench import fakes
 from bench import sizes
 
 # Bytes that the transport adds to a message between entries.
 PEER_FRAME_BYTES = 40
 _WATCH_STEP_SECONDS = 0.05
+_SEQUENCE = 100_000
 _FIRST_SERVER_ERROR = 500
 
 
 def create_entries(world: fakes.World, count: int = sizes.ENTRIES) -> None:
     """Start entries with real reducers that know the configuration."""
     for n in range(count):
-        world.entries.append(ReducerEntry(world, f"e{n}", n))
+        _add_entry(world, f"e{n}", n)
     tell_entries(world)
 
 
-def tell_entries(world: fakes.World) -> None:
-    """Let every entry know which entries are live."""
+def _add_entry(world: fakes.World, name: str, place: int) -> None:
+    entry = ReducerEntry(world, name, place)
+    world.entries.insert(place, entry)
+    world.reachable[name] = entry
+
+
+def replace_entry(
+    world: fakes.World, place: int, *, dies: bool, lag: float
+) -> None:
+    """Replace an entry by a new one; the others learn of it after a lag.
+
+    Args:
+        world: The world.
+        place: The place of the entry.
+        dies: Whether it ends at once; else it finishes what it has taken.
+        lag: Seconds until the others know.
+    """
+    old = world.entries.pop(place)
+    _add_entry(world, f"{old.id}x", place)
+    if dies:
+        del world.reachable[old.id]
+        old.die()
+    else:
+        old.post(events.StopRequested())
+    tell_entries(world, only=world.entries[place])
+    world.at(world.now + lag, tell_entries, world)
+
+
+def tell_entries(world: fakes.World, only: fakes.Entry | None = None) -> None:
+    """Let every entry, or only one, know which entries are live."""
     seen = tuple(
         events.LiveEntry(entry.id, entry.domain) for entry in world.entries
     )
-    for entry in world.entries:
+    for entry in world.entries if only is None else [only]:
         entry.post(events.EntriesSeen(seen))
 
 
@@ -49,18 +77,15 @@
     lost = world.peer_loss and world.rng.random() < world.peer_loss
     if world.peers_away or lost:
         return
-    for entry in world.entries:
-        if entry.id == peer:
-            delay = world.latency(sender.domain, entry.domain)
-            spoke = events.PeerSpoke(sender.id, message)
-            world.at(world.now + delay, entry.post, spoke)
-            return
+    entry = world.reachable.get(peer)
+    if entry is not None:
+        delay = world.latency(sender.domain, entry.domain)
+        spoke = events.PeerSpoke(sender.id, message)
+        world.at(world.now + delay, entry.post, spoke)
 
 
 def _message_bytes(message: peer_models.PeerMessage) -> int:
-    """Return the encoded size; fields by position, as the codec does."""
-    names = type(message).__dataclass_fields__
-    return len(msgspec.msgpack.encode([getattr(message, n) for n in names]))
+    return len(codec.encode("e0", 1, _SEQUENCE, message))
 
 
 @dataclasses.dataclass(slots=True)
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -51,6 +51,7 @@
         factor: How many times slower than usual it works.
         failing: Whether it rejects everything at once, without a mark.
         draining: Whether it says that it is leaving.
+        draining_since: When it began to.
         gone: Whether it refuses connections.
     """
 
@@ -61,6 +62,7 @@
     factor: float = 1.0
     failing: bool = False
     draining: bool = False
+    draining_since: float = 0.0
     gone: bool = False
     running: list[Job] = dataclasses.field(default_factory=list)
     queue: collections.deque[Job] = dataclasses.field(
@@ -106,6 +108,9 @@
     def post(self, event: events.Event) -> None:
         """Hear of an event; a baseline hears nothing."""
 
+    def die(self) -> None:
+        """End at once, without a word to anyone."""
+
     def succeed(self, call: FakeCall) -> None:
         """Record a good answer."""
         seen = self.world.tally
@@ -123,6 +128,7 @@
         cfg: The configuration that entries are given.
         targets: The targets by identifier.
         entries: The entries that callers are sent to.
+        reachable: Entries that messages reach, also leaving ones.
         store: The platform's store.
         tally: What the run has shown.
         sends_keys: Whether non-idempotent calls carry a key, so are claimed.
@@ -149,6 +155,7 @@
                     target.id, target.failure_domain, deployment.slots
                 )
         self.entries: list[Entry] = []
+        self.reachable: dict[str, Entry] = {}
         self.store = fakestore.FakeStore()
         self.tally = tally.Tally()
         self.sends_keys = True
@@ -263,7 +270,7 @@
 
     def _reach(self, target: FakeTarget, job: Job) -> None:
         if target.draining:
-            self.tally.to_draining += 1
+            self._count_to_draining(target)
         if target.gone:
             job.reply(0, target)
         elif target.failing:
@@ -275,6 +282,11 @@
         else:
             job.reply(503, target)
 
+    def _count_to_draining(self, target: FakeTarget) -> None:
+        self.tally.to_draining += 1
+        if self.now - target.draining_since > tally.DRAIN_NEWS_SECONDS:
+            self.tally.late_to_draining += 1
+
     def _begin(self, target: FakeTarget, job: Job) -> None:
         target.running.append(job)
         job.since = self.now
--- a/bench/main.py
+++ b/bench/main.py
@@ -5,12 +5,14 @@
 from bench import bookings
 from bench import decisions
 from bench import report
+from bench import routing
 from bench import spread
 
 _PARTS = (
     decisions,
     bookings,
     spread,
+    routing,
 )
 
 
--- a/bench/routing_baselines.py
+++ b/bench/routing_baselines.py
@@ -20,8 +20,6 @@
         world: The world it chooses in.
         rng: Its randomness.
         in_flight: Attempts in flight, by entry and target.
-        messages: Messages between entries, where a way needs them.
-        probes: Probes of targets.
     """
 
     def __init__(self, world: fakes.World) -> None:
@@ -30,8 +28,6 @@
         self.in_flight: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
-        self.messages = 0
-        self.probes = 0
         self.targets = {
             service.name: [world.targets[t.id] for t in service.targets]
             for service in world.cfg.services.values()
@@ -167,7 +163,7 @@
         targets = self.targets[service]
         target = targets[turn % len(targets)]
         self.reports[target.id] = target.waiting()
-        self.probes += 1
+        self.world.tally.probes_sent += 1
         when = self.world.now + 1 / _POLLS_PER_SECOND
         self.world.at(when, self._poll, service, turn + 1)
 
--- a/bench/tally.py
+++ b/bench/tally.py
@@ -4,6 +4,8 @@
 from collections import abc
 import dataclasses
 
+DRAIN_NEWS_SECONDS = 0.1
+
 
 @dataclasses.dataclass(slots=True)
 class Tally:
@@ -20,10 +22,11 @@
         attempts: Attempts started.
         doubled: Non-idempotent calls sent while another attempt may run.
         to_draining: Attempts that reached a draining target.
+        late_to_draining: Those later than `DRAIN_NEWS_SECONDS` after it began.
         by_target: Attempts by target.
         peer_messages: Messages between entries.
         peer_bytes: Bytes of them.
-        probes: Times of probes, by service.
+        probes_sent: Probes of targets.
     """
 
     latencies: dict[str, list[float]] = dataclasses.field(
@@ -44,14 +47,13 @@
     attempts: int = 0
     doubled: int = 0
     to_draining: int = 0
+    late_to_draining: int = 0
     by_target: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
     peer_messages: int = 0
     peer_bytes: int = 0
-    probes: dict[str, list[float]] = dataclasses.field(
-        default_factory=lambda: collections.defaultdict(list)
-    )
+    probes_sent: int = 0
 
     def all_latencies(self) -> list[float]:
         """Return the seconds of every good answer."""
--- a/src/agateshelf/core/hedging/const.py
+++ b/src/agateshelf/core/hedging/const.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-DELAY_QUANTILE: Final = 0.95
-DELAY_STEP: Final = 0.05
+DELAY_QUANTILE: Final = 0.92
 FIRST_DELAY_SECONDS: Final = 0.05
-LEAST_DELAY_SECONDS: Final = 0.001
+LEAST_TIMES: Final = 20
+MOST_TIMES: Final = 128
 MOST_ASKS: Final = 5
-RETRY_SECONDS: Final = 0.005
+RETRY_SECONDS: Final = 0.002
--- a/src/agateshelf/core/hedging/models.py
+++ b/src/agateshelf/core/hedging/models.py
@@ -1,30 +1,52 @@
-"""After how long a call is hedged."""
+"""After how long a call is hedged: a quantile of the latest answers' times."""
 
+import bisect
+import collections
 import dataclasses
 
 from agateshelf.core.hedging import const
 
 
+@dataclasses.dataclass(slots=True)
+class Times:
+    """The latest answers' times of one service, in seconds.
+
+    Attributes:
+        latest: The times in the order they came.
+        ordered: The same times in order of size.
+    """
+
+    latest: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    ordered: list[float] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class HedgingState:
-    """Delays by service name, in seconds."""
+    """Times of answers, by service name."""
 
-    delays: dict[str, float] = dataclasses.field(default_factory=dict)
+    times: dict[str, Times] = dataclasses.field(default_factory=dict)
 
 
 def delay_of(hedging: HedgingState, service: str) -> float:
-    """Return the delay of a service."""
-    return hedging.delays.get(service, const.FIRST_DELAY_SECONDS)
+    """Return the seconds after which a service's calls are hedged."""
+    times = hedging.times.get(service)
+    if times is None or len(times.ordered) < const.LEAST_TIMES:
+        return const.FIRST_DELAY_SECONDS
+    return times.ordered[int(const.DELAY_QUANTILE * len(times.ordered))]
 
 
 def learn(hedging: HedgingState, service: str, seconds: float) -> None:
-    """Move the delay a step toward the quantile of the attempts' times.
+    """Take in the time from a call's first attempt to its answer.
 
-    An attempt that is cancelled for another's answer took at least its age.
+    So a first attempt that lost against its hedge counts with the age it had.
     """
-    delay = delay_of(hedging, service)
-    if seconds > delay:
-        delay *= 1 + const.DELAY_STEP * const.DELAY_QUANTILE
-    else:
-        delay *= 1 - const.DELAY_STEP * (1 - const.DELAY_QUANTILE)
-    hedging.delays[service] = max(delay, const.LEAST_DELAY_SECONDS)
+    times = hedging.times.get(service)
+    if times is None:
+        times = hedging.times[service] = Times()
+    times.latest.append(seconds)
+    bisect.insort(times.ordered, seconds)
+    if len(times.latest) > const.MOST_TIMES:
+        oldest = times.latest.popleft()
+        del times.ordered[bisect.bisect_left(times.ordered, oldest)]
