--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -28,10 +28,10 @@
 ) -> list[effects.Effect]:
     """Take a call in, or refuse it with a truthful word."""
     if state.cfg.version == 0:
-        return [_refuse_unready(event.call)]
+        return [_refuse_early(event, _unready_refusal())]
     service = configuration_models.service_of(state.cfg, event.path)
     if service is None:
-        return [_refuse_unknown(event.call)]
+        return [_refuse_early(event, _no_service_refusal())]
     call = _create_call(service, now, event)
     state.calls.calls[call.number] = call
     timers.schedule(
@@ -338,23 +338,30 @@
     )
 
 
-def _refuse_unknown(call: int) -> effects.Refuse:
-    refusal = outcome_models.Refusal(
+def _refuse_early(
+    event: events.RequestArrived, refusal: outcome_models.Refusal
+) -> effects.Refuse:
+    """Refuse a request before it is a call; its key was not looked up."""
+    if event.idempotency_key is not None:
+        refusal = claim_refusals.of_undecided_key(refusal)
+    return effects.Refuse(event.call, refusal)
+
+
+def _no_service_refusal() -> outcome_models.Refusal:
+    return outcome_models.Refusal(
         status=_STATUS_NOT_FOUND,
         outcome=outcome_models.Outcome.NOT_RUN,
         reason=const.REASON_NO_SERVICE,
         detail="No service has a prefix of this path.",
         retry_after=None,
     )
-    return effects.Refuse(call, refusal)
 
 
-def _refuse_unready(call: int) -> effects.Refuse:
-    refusal = outcome_models.Refusal(
+def _unready_refusal() -> outcome_models.Refusal:
+    return outcome_models.Refusal(
         status=_STATUS_UNAVAILABLE,
         outcome=outcome_models.Outcome.NOT_RUN,
         reason=const.REASON_NOT_READY,
         detail="This entry has no configuration yet.",
         retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
     )
-    return effects.Refuse(call, refusal)
