--- a/bench/slopes_live.py
+++ b/bench/slopes_live.py
@@ -1,10 +1,12 @@
 """Slopes of a real entry process on loopback."""
 
 import contextlib
+import json
 import os
 import pathlib
 import socket
 import time
+from typing import Any
 
 from agateshelf_standins import system
 from bench import fitting
@@ -12,14 +14,16 @@
 _CALL_COUNTS = (500, 1000, 2000, 3000)
 _CONNECTION_COUNTS = (0, 100, 200, 400)
 _SETTLE_SECONDS = 0.5
+_ENTRIES_TOGETHER = 4
+_ACQUAINTANCE_SECONDS = 5.0
 _KIBIBYTE = 1024.0
 _READ_BYTES = 65536
 _ENTRY_LIMITS = {"connections": 1000}
 _REQUEST = b"GET /recall/1 HTTP/1.1\r\nHost: bench\r\n\r\n"
 
 
-def start(running: system.System) -> system.Entry:
-    """Start a store, an instance list, a target and an entry."""
+def start(running: system.System, count: int) -> list[system.Entry]:
+    """Start a store, an instance list, a target and connected entries."""
     store = running.start_stand_in("store", "--port", "0")
     instances = running.start_stand_in("instances", "--port", "0")
     target = running.start_stand_in(
@@ -30,21 +34,25 @@
     system.put_configuration(
         store.address, {"services": {"recall-lookups": service}}
     )
-    entry = running.start_entry(
-        {
-            "entry": "entry-0",
-            "failure_domain": "boston",
-            "callers": {"port": system.free_port()},
-            "administration": {"port": system.free_port()},
-            "platform": {
-                "store": store.address,
-                "instances": instances.address,
-            },
-            "limits": _ENTRY_LIMITS,
-        }
-    )
-    system.wait_for(entry.admin, "/ready", entry.process.popen)
-    return entry
+    platform = {"store": store.address, "instances": instances.address}
+    documents = [_entry_settings(number, platform) for number in range(count)]
+    if count > 1:
+        system.connect_peers(documents)
+    entries = [running.start_entry(document) for document in documents]
+    for entry in entries:
+        system.wait_for(entry.admin, "/ready", entry.process.popen)
+    return entries
+
+
+def _entry_settings(number: int, platform: dict[str, str]) -> dict[str, Any]:
+    return {
+        "entry": f"entry-{number}",
+        "failure_domain": "boston",
+        "callers": {"port": system.free_port()},
+        "administration": {"port": system.free_port()},
+        "platform": platform,
+        "limits": _ENTRY_LIMITS,
+    }
 
 
 def processor_seconds(pid: int) -> float:
@@ -80,19 +88,25 @@
         body += sock.recv(_READ_BYTES)
 
 
-def calls(entry: system.Entry) -> fitting.Slope:
-    """Measure processor time for each call through the entry."""
-    pid = entry.process.popen.pid
+def calls(name: str, entries: list[system.Entry]) -> fitting.Slope:
+    """Measure the entries' processor time for each call through them."""
     points = []
-    with contextlib.closing(connect(entry)) as sock:
-        call(sock)
+    with contextlib.ExitStack() as stack:
+        socks = [
+            stack.enter_context(contextlib.closing(connect(entry)))
+            for entry in entries
+        ]
         for count in _CALL_COUNTS:
-            before = processor_seconds(pid)
-            for _ in range(count):
-                call(sock)
-            spent = processor_seconds(pid) - before
+            before = _processor_seconds_of(entries)
+            for number in range(count):
+                call(socks[number % len(socks)])
+            spent = _processor_seconds_of(entries) - before
             points.append(fitting.Point(count, spent * 1000.0))
-    return fitting.fit("entry/processor", "calls", "ms", points)
+    return fitting.fit(name, "calls", "ms", points)
+
+
+def _processor_seconds_of(entries: list[system.Entry]) -> float:
+    return sum(processor_seconds(entry.process.popen.pid) for entry in entries)
 
 
 def connections(entry: system.Entry) -> fitting.Slope:
@@ -111,11 +125,46 @@
     return fitting.fit("entry/memory", "connections", "KiB", points)
 
 
-def run() -> list[fitting.Slope]:
-    """Measure all slopes of a real entry."""
+def alone() -> list[fitting.Slope]:
+    """Measure an entry without peers."""
     running = system.create_system()
     try:
-        entry = start(running)
-        return [calls(entry), connections(entry)]
+        entries = start(running, 1)
+        return [calls("entry/processor-alone", entries), connections(*entries)]
     finally:
         running.stop()
+
+
+def together() -> list[fitting.Slope]:
+    """Measure entries that place calls with each other's help."""
+    running = system.create_system()
+    try:
+        entries = start(running, _ENTRIES_TOGETHER)
+        time.sleep(_ACQUAINTANCE_SECONDS)
+        slopes = [calls("entry/processor", entries)]
+        slopes.append(_placing_bytes(entries))
+        return slopes
+    finally:
+        running.stop()
+
+
+def _placing_bytes(entries: list[system.Entry]) -> fitting.Slope:
+    points = []
+    with contextlib.closing(connect(entries[0])) as sock:
+        for count in _CALL_COUNTS:
+            before = sum(_sent_bytes(entry) for entry in entries)
+            for _ in range(count):
+                call(sock)
+            sent = sum(_sent_bytes(entry) for entry in entries) - before
+            points.append(fitting.Point(count, sent / _KIBIBYTE))
+    return fitting.fit("entry/peer-bytes", "calls", "KiB", points)
+
+
+def _sent_bytes(entry: system.Entry) -> int:
+    _, body = system.request(entry.admin, "GET", "/status")
+    return int(json.loads(body)["counts"].get("peers.sent_bytes", 0))
+
+
+def run() -> list[fitting.Slope]:
+    """Measure all slopes of real entries."""
+    return [*alone(), *together()]
