--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 	$(BIN)/ruff check --no-cache .
 	$(BIN)/mypy --cache-dir=/dev/null src bench script
 	$(BIN)/python script/check_imports.py
+	$(BIN)/python script/check_proofs.py
 
 format: setup
 	$(BIN)/ruff format --no-cache .
