Serve callers until the balancer has noticed a stop; repeat no unknown method

Cause: the listener closed in the instant that readiness went off, so callers whom the balancer still sent were refused a connection; and a method that the policy does not name counted as idempotent, also one nobody knows.

Both tests were seen to fail before. Ruled out: closing the listener only once connections stop coming, which a busy balancer may never let happen.

--- a/src/agateshelf/core/calls/const.py
+++ b/src/agateshelf/core/calls/const.py
@@ -4,6 +4,10 @@
 
 DEFAULT_RETRY_AFTER_SECONDS: Final = 1.0
 
+KNOWN_METHODS: Final = frozenset(
+    {"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT", "TRACE"}
+)
+
 REASON_NO_SERVICE: Final = "no-such-service"
 REASON_NOT_READY: Final = "not-ready"
 REASON_NO_TARGET: Final = "no-target"
--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -102,13 +102,20 @@
         path=event.path,
         deadline=now + timeout,
         arrived=now,
-        idempotent=event.method not in service.non_idempotent,
+        idempotent=_is_idempotent(service, event.method),
         idempotency_key=event.idempotency_key,
         no_retry=event.no_retry,
         body_digest=event.body_digest,
     )
 
 
+def _is_idempotent(service: configuration_models.Service, method: str) -> bool:
+    """Return whether a request may be repeated; unknown methods may not."""
+    if method not in const.KNOWN_METHODS:
+        return False
+    return method not in service.non_idempotent
+
+
 def start_attempt(
     state: core_state.State, now: float, call: models.Call
 ) -> list[effects.Effect]:
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -160,7 +160,7 @@
             caller_server,
             listener,
             stop_signals,
-            cfg.limits.stop_seconds,
+            cfg.limits,
         )
         _log.info("Entry {} stopped.", cfg.entry)
 
--- a/src/agateshelf/daemon/stopping.py
+++ b/src/agateshelf/daemon/stopping.py
@@ -13,6 +13,7 @@
 from agateshelf.daemon import listening
 from agateshelf.daemon import signals
 from agateshelf.daemon.callers import server
+from agateshelf.documents import settings
 
 _LAST_WORDS_SECONDS = 2.0
 
@@ -24,7 +25,7 @@
     caller_server: server.CallerServer,
     listener: listening.Listener,
     stop_signals: signals.Signals,
-    seconds: float,
+    limits: settings.Limits,
 ) -> None:
     """Finish what is owed, or give true refusals at a signal or deadline.
 
@@ -33,12 +34,17 @@
         caller_server: The server whose connections end.
         listener: The callers' listener, which is closed.
         stop_signals: A further signal ends the wait.
-        seconds: Seconds to wait at most.
+        limits: How long the stop and its parts may take.
     """
     await driver.post(events.StopRequested())
+    if await _signalled_within(stop_signals, limits.unready_seconds):
+        _log.warning("Signal came again while the balancer was to notice.")
+        await listener.close()
+        await _give_last_words(driver)
+        return
     await listener.close()
     await caller_server.stop()
-    async with curio.ignore_after(seconds) as late:
+    async with curio.ignore_after(limits.stop_seconds) as late:
         async with curio.TaskGroup(wait=any) as group:
             settled = await group.spawn(_settle, driver)
             await group.spawn(stop_signals.next)
@@ -46,6 +52,26 @@
             return
     why = "Stop took too long" if late.expired else "Signal came again"
     _log.warning("{}, {} obligations left.", why, driver.exchanges.owed.owed)
+    await _give_last_words(driver)
+
+
+async def _signalled_within(
+    stop_signals: signals.Signals, seconds: float
+) -> bool:
+    """Let the balancer notice before connections are refused.
+
+    Returns:
+        Whether a further signal came meanwhile.
+    """
+    if seconds <= 0:
+        return False
+    async with curio.ignore_after(seconds):
+        await stop_signals.next()
+        return True
+    return False
+
+
+async def _give_last_words(driver: daemon_driver.Driver) -> None:
     await driver.post(events.StopDeadlinePassed())
     async with curio.ignore_after(_LAST_WORDS_SECONDS):
         await driver.exchanges.owed.wait()
--- a/src/agateshelf/documents/settings.py
+++ b/src/agateshelf/documents/settings.py
@@ -103,6 +103,7 @@
     idle_seconds: Seconds = 60.0
     request_seconds: Seconds = 30.0
     kept_target_connections: Annotated[int, pydantic.Field(ge=0)] = 16
+    unready_seconds: Annotated[float, pydantic.Field(ge=0, le=3600)] = 2.0
     stop_seconds: Seconds = 30.0
 
 
--- a/src/agateshelf_standins/system.py
+++ b/src/agateshelf_standins/system.py
@@ -103,6 +103,8 @@
 
     def start_entry(self, settings: dict[str, Any]) -> Entry:
         """Start an entry; `start_entry` returns once it answers `/health`."""
+        limits = settings.setdefault("limits", {})
+        limits.setdefault("unready_seconds", 0)
         path = self.directory / f"{settings['entry']}.json"
         path.write_text(json.dumps(settings))
         popen = subprocess.Popen(
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -50,6 +50,12 @@
     assert refusal.outcome is outcome_models.Outcome.UNKNOWN
 
 
+def test_unknown_method_is_taken_as_non_idempotent(state):
+    first = started(arrive(state, "BREW"))
+    refusal = refused(reducer.reduce(state, 1.1, failed(first, sent=True)))
+    assert refusal.outcome is outcome_models.Outcome.UNKNOWN
+
+
 def test_marked_refusal_is_tried_elsewhere(state):
     first = started(arrive(state, "POST"))
     answer = events.AttemptAnswered(first.attempt, 503, (MARK,))
--- a/tests/daemon/test_stops.py
+++ b/tests/daemon/test_stops.py
@@ -95,3 +95,14 @@
     step = told_when_cut_short(small)
     next(step)
     next(step)
+
+
+def test_callers_are_served_until_the_balancer_has_noticed(running):
+    small = small_system.start(running, limits={"unready_seconds": 2})
+    small.entry.process.popen.terminate()
+    time.sleep(0.5)
+    status, _ = system.request(small.entry.admin, "GET", "/ready")
+    assert status == 503
+    status, _ = system.request(small.entry.process.address, "GET", "/new")
+    assert status == 200
+    assert small.entry.process.popen.wait(10) == 0
