Bound what a long outage keeps from the store

Ends of claims that run unclaimed piled up without limit while the store was away; the oldest are now dropped, which leaves their keys "unknown".

--- a/src/agateshelf/core/claims/requests.py
+++ b/src/agateshelf/core/claims/requests.py
@@ -302,6 +302,8 @@
     if _needs_no_end(claim):
         return _settle(state)
     record = _end_of(claim, event)
+    if len(state.claims.untold) >= const.MAX_QUEUE_RECORDS:
+        state.claims.untold.pop(next(iter(state.claims.untold)))
     untold = models.Untold(record, now)
     state.claims.untold[nonce] = untold
     return _tell_again(state, now, untold)
--- a/src/agateshelf/core/claims/shards.py
+++ b/src/agateshelf/core/claims/shards.py
@@ -27,6 +27,8 @@
     proposal = models.Proposal(record, peer)
     if _must_turn_away(shard, now, record):
         return _turn_away(state, shard, [proposal])
+    if len(shard.queue) >= const.MAX_QUEUE_RECORDS:
+        return [effects.Count("claims.ends_dropped")]
     shard.queue.append(proposal)
     return advance(state, now, shard)
 
--- a/tests/core/claims/test_claims.py
+++ b/tests/core/claims/test_claims.py
@@ -317,3 +317,20 @@
     world.run(5.0)
     assert booking.copies[1].reason == "deadline-passed"
     assert bookings_world.judge(world) == CLEAN
+
+
+def test_ends_that_a_long_outage_keeps_from_the_store_are_bounded(monkeypatch):
+    monkeypatch.setattr(const, "MAX_QUEUE_RECORDS", 10)
+    service = bookings_world.create_service(
+        store_away=models.StoreAwayPolicy.RUN_UNCLAIMED
+    )
+    world = bookings_world.World(1, seed=1, service=service)
+    world.store_away = True
+    (entry,) = world.entries.values()
+    for number in range(60):
+        world.book(f"k{number}")
+        world.run(world.now + 0.5)
+    claims = entry.state.claims
+    assert len(world.ledger) > 40
+    assert len(claims.untold) <= 10
+    assert all(len(shard.queue) <= 10 for shard in claims.shards.values())
