--- a/bench/routing.py
+++ b/bench/routing.py
@@ -17,7 +17,7 @@
 from bench import sizes
 from bench import tally
 
-_SEEDS = (1, 2, 3)
+_SEEDS = (4, 5, 6)
 _PROCESSES = 3
 _SETTLE_SECONDS = 2.5
 _MILLISECONDS = 1000.0
