Start nothing when a target is named after the deadline; refusals of their own

Cause: a home's answer that came after the deadline, before the tick that ends the call, started an attempt with a negative timeout.

--- a/src/agateshelf/core/calls/ending.py
+++ b/src/agateshelf/core/calls/ending.py
@@ -3,9 +3,9 @@
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import state as core_state
-from agateshelf.core.calls import const
 from agateshelf.core.calls import lifecycle
 from agateshelf.core.calls import models
+from agateshelf.core.calls import refusals
 from agateshelf.core.hedging import models as hedging_models
 from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
@@ -15,7 +15,6 @@
 from agateshelf.core.routing import answers
 from agateshelf.core.routing import models as routing_models
 
-_STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
 
 
@@ -146,19 +145,11 @@
     if poison.may_retry(call) and rules_of_retries.may_retry(state, now, call):
         done.extend(lifecycle.start_retry(state, now, call))
     else:
-        done.extend(lifecycle.give_up(state, call, _failure_refusal(call)))
+        done.extend(
+            lifecycle.give_up(state, call, refusals.target_failed(call))
+        )
     return done
 
 
 def _note(call: models.Call, verdict: outcome_models.Verdict) -> None:
     call.verdict = max(call.verdict, verdict)
-
-
-def _failure_refusal(call: models.Call) -> outcome_models.Refusal:
-    return outcome_models.Refusal(
-        status=_STATUS_BAD_GATEWAY,
-        outcome=rules.told(call.verdict),
-        reason=const.REASON_TARGET_FAILED,
-        detail="The target gave no whole answer.",
-        retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
-    )
--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -6,32 +6,28 @@
 from agateshelf.core import timers
 from agateshelf.core.calls import const
 from agateshelf.core.calls import models
+from agateshelf.core.calls import refusals
 from agateshelf.core.claims import refusals as claim_refusals
 from agateshelf.core.claims import requests as claim_requests
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.hedging import rules as hedging
 from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
-from agateshelf.core.outcomes import rules
 from agateshelf.core.poison import evidence as poison
 from agateshelf.core.retries import budget
 from agateshelf.core.routing import models as routing_models
 from agateshelf.core.routing import placing
 
-_STATUS_NOT_FOUND = 404
-_STATUS_UNAVAILABLE = 503
-_STATUS_TIMEOUT = 504
-
 
 def on_request(
     state: core_state.State, now: float, event: events.RequestArrived
 ) -> list[effects.Effect]:
     """Take a call in, or refuse it with a truthful word."""
     if state.cfg.version == 0:
-        return [_refuse_early(event, _unready_refusal())]
+        return [_refuse_early(event, refusals.unready())]
     service = configuration_models.service_of(state.cfg, event.path)
     if service is None:
-        return [_refuse_early(event, _no_service_refusal())]
+        return [_refuse_early(event, refusals.no_service())]
     call = _create_call(service, now, event)
     state.calls.calls[call.number] = call
     timers.schedule(
@@ -123,7 +119,7 @@
     """Send the call to the best target left, or give it up."""
     remaining = call.deadline - now
     if remaining <= 0:
-        return give_up(state, call, _deadline_refusal(call))
+        return give_up(state, call, refusals.deadline_passed(call))
     if not claim_requests.may_start(state, now, call):
         return give_up(state, call, claim_refusals.claim_late())
     wish = routing_models.Wish(
@@ -145,8 +141,11 @@
         _leave_unused(state, event)
         return []
     if event.placement is None:
-        return give_up(state, call, _no_target_refusal(call))
+        return give_up(state, call, refusals.no_target(call))
     remaining = call.deadline - now
+    if remaining <= 0:
+        _leave_unused(state, event)
+        return give_up(state, call, refusals.deadline_passed(call))
     if not claim_requests.may_start(state, now, call):
         _leave_unused(state, event)
         return give_up(state, call, claim_refusals.claim_late())
@@ -282,7 +281,7 @@
     call = state.calls.calls.get(event.call)
     if call is None or _is_streaming(state, call):
         return []
-    return give_up(state, call, _deadline_refusal(call))
+    return give_up(state, call, refusals.deadline_passed(call))
 
 
 def _is_streaming(state: core_state.State, call: models.Call) -> bool:
@@ -293,7 +292,7 @@
     """Give up every call left: the process ends now."""
     done: list[effects.Effect] = []
     for call in list(state.calls.calls.values()):
-        done.extend(give_up(state, call, _stopping_refusal(call)))
+        done.extend(give_up(state, call, refusals.stopping(call)))
     return done
 
 
@@ -309,43 +308,6 @@
     return done
 
 
-def _open_outcome(call: models.Call) -> outcome_models.Outcome:
-    """Return what is known of a call, counting what is still in flight."""
-    if call.attempts:
-        return outcome_models.Outcome.UNKNOWN
-    return rules.told(call.verdict)
-
-
-def _deadline_refusal(call: models.Call) -> outcome_models.Refusal:
-    return outcome_models.Refusal(
-        status=_STATUS_TIMEOUT,
-        outcome=_open_outcome(call),
-        reason=const.REASON_DEADLINE,
-        detail="The deadline passed before an answer came.",
-        retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
-    )
-
-
-def _stopping_refusal(call: models.Call) -> outcome_models.Refusal:
-    return outcome_models.Refusal(
-        status=_STATUS_UNAVAILABLE,
-        outcome=_open_outcome(call),
-        reason=const.REASON_STOPPING,
-        detail="This entry is stopping and could not wait for the answer.",
-        retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
-    )
-
-
-def _no_target_refusal(call: models.Call) -> outcome_models.Refusal:
-    return outcome_models.Refusal(
-        status=_STATUS_UNAVAILABLE,
-        outcome=_open_outcome(call),
-        reason=const.REASON_NO_TARGET,
-        detail="No target could take the request.",
-        retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
-    )
-
-
 def _refuse_early(
     event: events.RequestArrived, refusal: outcome_models.Refusal
 ) -> effects.Refuse:
@@ -353,23 +315,3 @@
     if event.idempotency_key is not None:
         refusal = claim_refusals.of_undecided_key(refusal)
     return effects.Refuse(event.call, refusal)
-
-
-def _no_service_refusal() -> outcome_models.Refusal:
-    return outcome_models.Refusal(
-        status=_STATUS_NOT_FOUND,
-        outcome=outcome_models.Outcome.NOT_RUN,
-        reason=const.REASON_NO_SERVICE,
-        detail="No service has a prefix of this path.",
-        retry_after=None,
-    )
-
-
-def _unready_refusal() -> outcome_models.Refusal:
-    return outcome_models.Refusal(
-        status=_STATUS_UNAVAILABLE,
-        outcome=outcome_models.Outcome.NOT_RUN,
-        reason=const.REASON_NOT_READY,
-        detail="This entry has no configuration yet.",
-        retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
-    )
--- /dev/null
+++ b/src/agateshelf/core/calls/refusals.py
@@ -0,0 +1,92 @@
+"""Final words on calls that no target answered."""
+
+from agateshelf.core.calls import const
+from agateshelf.core.calls import models
+from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.outcomes import rules
+
+_STATUS_NOT_FOUND = 404
+_STATUS_BAD_GATEWAY = 502
+_STATUS_UNAVAILABLE = 503
+_STATUS_TIMEOUT = 504
+
+
+def deadline_passed(call: models.Call) -> outcome_models.Refusal:
+    """Return the word on a call that nobody waits for any more."""
+    return _refusal_of(
+        call,
+        _STATUS_TIMEOUT,
+        const.REASON_DEADLINE,
+        "The deadline passed before an answer came.",
+    )
+
+
+def stopping(call: models.Call) -> outcome_models.Refusal:
+    """Return the word on a call left when the stop has to end."""
+    return _refusal_of(
+        call,
+        _STATUS_UNAVAILABLE,
+        const.REASON_STOPPING,
+        "This entry is stopping and could not wait for the answer.",
+    )
+
+
+def no_target(call: models.Call) -> outcome_models.Refusal:
+    """Return the word on a call that no target is left for."""
+    return _refusal_of(
+        call,
+        _STATUS_UNAVAILABLE,
+        const.REASON_NO_TARGET,
+        "No target could take the request.",
+    )
+
+
+def target_failed(call: models.Call) -> outcome_models.Refusal:
+    """Return the word on a call whose last attempt failed."""
+    return _refusal_of(
+        call,
+        _STATUS_BAD_GATEWAY,
+        const.REASON_TARGET_FAILED,
+        "The target gave no whole answer.",
+    )
+
+
+def no_service() -> outcome_models.Refusal:
+    """Return the word on a request that no service takes."""
+    return outcome_models.Refusal(
+        status=_STATUS_NOT_FOUND,
+        outcome=outcome_models.Outcome.NOT_RUN,
+        reason=const.REASON_NO_SERVICE,
+        detail="No service has a prefix of this path.",
+        retry_after=None,
+    )
+
+
+def unready() -> outcome_models.Refusal:
+    """Return the word of an entry that has no configuration."""
+    return outcome_models.Refusal(
+        status=_STATUS_UNAVAILABLE,
+        outcome=outcome_models.Outcome.NOT_RUN,
+        reason=const.REASON_NOT_READY,
+        detail="This entry has no configuration yet.",
+        retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
+    )
+
+
+def _refusal_of(
+    call: models.Call, status: int, reason: str, detail: str
+) -> outcome_models.Refusal:
+    return outcome_models.Refusal(
+        status=status,
+        outcome=_outcome_of(call),
+        reason=reason,
+        detail=detail,
+        retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
+    )
+
+
+def _outcome_of(call: models.Call) -> outcome_models.Outcome:
+    """Return what is known of a call, counting what is still in flight."""
+    if call.attempts:
+        return outcome_models.Outcome.UNKNOWN
+    return rules.told(call.verdict)
--- a/tests/core/routing/test_placing.py
+++ b/tests/core/routing/test_placing.py
@@ -62,6 +62,16 @@
     assert conftest.sent(other.arrive(again), messages.TargetAsked)
 
 
+def test_target_named_after_the_deadline_starts_nothing(pair):
+    home, other, home_name, other_name = pair
+    named = name(home, other_name, ask(other))
+    late = 1.0 + other.state.cfg.services["lookups"].timeout + 0.001
+    done = other.post(late, events.PeerSpoke(home_name, named))
+    assert not conftest.started(done)
+    assert [e.refusal.status for e in done if hasattr(e, "refusal")] == [504]
+    assert conftest.sent(done, messages.AttemptSettled)
+
+
 def test_home_counts_attempts_out_when_they_are_settled(pair):
     home, other, home_name, other_name = pair
     named = name(home, other_name, ask(other))
