--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -7,6 +7,7 @@
 from agateshelf.core.calls import const
 from agateshelf.core.calls import models
 from agateshelf.core.calls import refusals
+from agateshelf.core.claims import ends as claim_ends
 from agateshelf.core.claims import refusals as claim_refusals
 from agateshelf.core.claims import requests as claim_requests
 from agateshelf.core.configuration import models as configuration_models
@@ -269,7 +270,7 @@
     """Return the exit once a stopping entry owes nothing to anyone."""
     if not state.stopping or state.calls.calls:
         return []
-    if not claim_requests.is_settled(state):
+    if not claim_ends.is_settled(state):
         return []
     return [effects.Exit()]
 
--- /dev/null
+++ b/src/agateshelf/core/claims/delivering.py
@@ -0,0 +1,25 @@
+"""Delivery of a record to the appender of its shard."""
+
+from agateshelf.core import effects
+from agateshelf.core import state as core_state
+from agateshelf.core.claims import messages
+from agateshelf.core.claims import models
+from agateshelf.core.claims import shards
+
+
+def propose(
+    state: core_state.State,
+    now: float,
+    record: models.Record,
+    delivery: models.Delivery,
+    owner: str,
+) -> list[effects.Effect]:
+    """Send a record to its owner, or append it here if that is this entry."""
+    delivery.owner = owner
+    delivery.sent = now
+    delivery.tries += 1
+    if owner == state.identity.entry:
+        delivery.direct = True
+        return shards.submit(state, now, record, peer=None)
+    message = messages.RecordsProposed((record,))
+    return [effects.SendToPeers((owner,), message)]
--- a/src/agateshelf/core/claims/requests.py
+++ b/src/agateshelf/core/claims/requests.py
@@ -1,4 +1,4 @@
-"""The claims of this entry's own calls, from the proposal to the end."""
+"""The claims of this entry's own calls, from the proposal to the word."""
 
 from agateshelf.core import effects
 from agateshelf.core import events
@@ -6,7 +6,8 @@
 from agateshelf.core import timers
 from agateshelf.core.calls import models as call_models
 from agateshelf.core.claims import const
-from agateshelf.core.claims import index
+from agateshelf.core.claims import delivering
+from agateshelf.core.claims import ends
 from agateshelf.core.claims import log
 from agateshelf.core.claims import messages
 from agateshelf.core.claims import models
@@ -61,7 +62,7 @@
     owner = owners.current_owner(state, now, log.shard_of(claim.record.digest))
     if delivery.tries >= const.MAX_OWNER_TRIES:
         owner = state.identity.entry
-    done = _propose(state, now, claim.record, delivery, owner)
+    done = delivering.propose(state, now, claim.record, delivery, owner)
     if delivery.direct:
         return done
     overdue = events.ClaimOverdue(claim.record.nonce)
@@ -70,23 +71,6 @@
     return done
 
 
-def _propose(
-    state: core_state.State,
-    now: float,
-    record: models.Record,
-    delivery: models.Delivery,
-    owner: str,
-) -> list[effects.Effect]:
-    delivery.owner = owner
-    delivery.sent = now
-    delivery.tries += 1
-    if owner == state.identity.entry:
-        delivery.direct = True
-        return shards.submit(state, now, record, peer=None)
-    message = messages.RecordsProposed((record,))
-    return [effects.SendToPeers((owner,), message)]
-
-
 def on_peer_proposal(
     state: core_state.State,
     now: float,
@@ -120,7 +104,7 @@
     """Go on with a call by the word on its claim."""
     decision = event.decision
     if decision.word is models.Word.KEPT:
-        return _on_kept(state, decision)
+        return ends.on_kept(state, decision)
     claim = _waiting_claim(state, decision.nonce)
     if claim is None:
         return []
@@ -261,10 +245,7 @@
     claim = _waiting_claim(state, event.nonce)
     if claim is not None:
         return _on_claim_overdue(state, now, claim)
-    untold = state.claims.untold.get(event.nonce)
-    if untold is None:
-        return []
-    return _tell_again(state, now, untold)
+    return ends.on_overdue(state, now, event.nonce)
 
 
 def _on_claim_overdue(
@@ -292,108 +273,6 @@
         state.inbox.append(event)
 
 
-def on_ended(
-    state: core_state.State, now: float, event: events.ClaimEnded
-) -> list[effects.Effect]:
-    """Record how a claimed call ended, so that repeats are told."""
-    claim = state.claims.claims.pop(event.call)
-    nonce = claim.record.nonce
-    del state.claims.calls_by_nonce[nonce]
-    if _needs_no_end(claim):
-        return _settle(state)
-    record = _end_of(claim, event)
-    if len(state.claims.untold) >= const.MAX_QUEUE_RECORDS:
-        state.claims.untold.pop(next(iter(state.claims.untold)))
-    untold = models.Untold(record, now)
-    state.claims.untold[nonce] = untold
-    return _tell_again(state, now, untold)
-
-
-def _needs_no_end(claim: models.Claim) -> bool:
-    return claim.stage is models.Stage.REJECTED and not claim.may_be_written
-
-
-def _tell_again(
-    state: core_state.State, now: float, untold: models.Untold
-) -> list[effects.Effect]:
-    """Propose the end of a claim until an appender confirms it."""
-    nonce = untold.record.nonce
-    waited = now - untold.since
-    if state.stopping and waited >= const.SETTLE_PATIENCE_SECONDS:
-        return _forget_untold(state, nonce)
-    delivery = untold.delivery
-    patience = min(
-        const.OUTCOME_PATIENCE_SECONDS * 2.0**delivery.tries,
-        const.MAX_OUTCOME_PATIENCE_SECONDS,
-    )
-    if waited > index.lifetime(state):
-        return _forget_untold(state, nonce)
-    timers.schedule(state.timers, now + patience, events.ClaimOverdue(nonce))
-    if delivery.direct:
-        return []
-    shard = log.shard_of(untold.record.digest)
-    owner = owners.current_owner(state, now, shard)
-    return _propose(state, now, untold.record, delivery, owner)
-
-
-def on_stop(state: core_state.State, now: float) -> list[effects.Effect]:
-    """Hurry to have the ends of claims confirmed before this entry exits."""
-    done: list[effects.Effect] = []
-    for untold in list(state.claims.untold.values()):
-        untold.since = now
-        untold.delivery.tries = 0
-        done.extend(_tell_again(state, now, untold))
-    return done
-
-
-def _end_of(claim: models.Claim, event: events.ClaimEnded) -> models.Record:
-    claimed = claim.record
-    if event.verdict is outcome_models.Verdict.DID_NOT_RUN:
-        return _with_state(claimed, models.RecordState.RELEASED)
-    answer = event.answer
-    if answer is None:
-        return _with_state(claimed, models.RecordState.UNKNOWN)
-    return models.Record(
-        digest=claimed.digest,
-        nonce=claimed.nonce,
-        request=claimed.request,
-        state=models.RecordState.ANSWERED,
-        status=answer.status,
-        content_type=answer.content_type,
-        body=answer.body,
-    )
-
-
-def _with_state(
-    record: models.Record, state: models.RecordState
-) -> models.Record:
-    return models.Record(record.digest, record.nonce, record.request, state)
-
-
-def _on_kept(
-    state: core_state.State, decision: models.Decision
-) -> list[effects.Effect]:
-    return _forget_untold(state, decision.nonce)
-
-
-def _forget_untold(
-    state: core_state.State, nonce: bytes
-) -> list[effects.Effect]:
-    state.claims.untold.pop(nonce, None)
-    return _settle(state)
-
-
-def _settle(state: core_state.State) -> list[effects.Effect]:
-    if state.stopping and is_settled(state):
-        state.inbox.append(events.ClaimsSettled())
-    return []
-
-
-def is_settled(state: core_state.State) -> bool:
-    """Return whether every end of a claim has been confirmed."""
-    return not state.claims.untold and not state.claims.claims
-
-
 def truthful(
     state: core_state.State,
     call: call_models.Call,
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -10,11 +10,11 @@
 from agateshelf.core import timers
 from agateshelf.core.calls import ending
 from agateshelf.core.calls import lifecycle
+from agateshelf.core.claims import ends as claim_ends
 from agateshelf.core.claims import handling as claim_handling
 from agateshelf.core.claims import messages as claim_messages
 from agateshelf.core.claims import owners as claim_owners
 from agateshelf.core.claims import pauses as claim_pauses
-from agateshelf.core.claims import requests as claim_requests
 from agateshelf.core.claims import shards as claim_shards
 from agateshelf.core.configuration import handling as configuration
 from agateshelf.core.hedging import rules as hedging
@@ -227,7 +227,7 @@
     return [
         effects.BecomeUnready(),
         *membership.on_stop(state, now),
-        *claim_requests.on_stop(state, now),
+        *claim_ends.on_stop(state, now),
         *lifecycle.exit_if_idle(state),
     ]
 
