--- a/src/agateshelf/daemon/platform/http.py
+++ b/src/agateshelf/daemon/platform/http.py
@@ -4,15 +4,22 @@
 
 import curio
 import h11
+from returns import result
 
-from agateshelf import exceptions
 from agateshelf.daemon.targets import connection
 
 _MAX_BODY_BYTES = 8 << 20
 
 
-class PlatformError(exceptions.AgateshelfError):
-    """A platform service gave no answer; what it did is not known."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """A platform service gave no whole answer; what it did is not known.
+
+    Attributes:
+        reason: What went wrong, for logs.
+    """
+
+    reason: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,17 +43,14 @@
 
 async def fetch(
     address: str, request: PlatformRequest, timeout: float
-) -> PlatformAnswer:
-    """Send a request and return its answer.
-
-    Raises:
-        PlatformError: No whole answer came within the timeout (seconds).
-    """
+) -> result.Result[PlatformAnswer, NoAnswer]:
+    """Send a request; return its answer, or none after a timeout in seconds."""
     try:
         async with curio.timeout_after(timeout):
-            return await _exchange(address, request)
+            answer = await _exchange(address, request)
     except (OSError, curio.TaskTimeout, h11.ProtocolError) as exc:
-        raise PlatformError(f"{address}: {type(exc).__name__}") from exc
+        return result.Failure(NoAnswer(f"{address}: {type(exc).__name__}"))
+    return result.Success(answer)
 
 
 async def _exchange(address: str, request: PlatformRequest) -> PlatformAnswer:
--- a/src/agateshelf/daemon/platform/instances.py
+++ b/src/agateshelf/daemon/platform/instances.py
@@ -44,24 +44,21 @@
 
     async def _ask(self, timeout: float, post: Post) -> None:
         request = http.PlatformRequest("GET", "/v1/instances")
-        try:
-            answer = await http.fetch(self.address, request, timeout)
-            await post(read_list(answer))
-        except (http.PlatformError, msgspec.MsgspecError, ValueError):
-            await post(events.InstancesNotListed())
+        fetched = await http.fetch(self.address, request, timeout)
+        listed = fetched.map(read_list).value_or(None)
+        await post(listed or events.InstancesNotListed())
 
 
-def read_list(answer: http.PlatformAnswer) -> events.InstancesListed:
-    """Return the list that an answer holds.
-
-    Raises:
-        msgspec.MsgspecError: The body is not what the protocol says.
-        ValueError: It is no answer, or a role is not known.
-    """
+def read_list(answer: http.PlatformAnswer) -> events.InstancesListed | None:
+    """Return the list that an answer holds; None if it is not a list."""
     if answer.status != _OK:
-        raise ValueError(f"status {answer.status}")
-    body = msgspec.json.decode(answer.body, type=_Body)
-    return events.InstancesListed(tuple(map(_instance, body.instances)))
+        return None
+    try:
+        body = msgspec.json.decode(answer.body, type=_Body)
+        instances = tuple(map(_instance, body.instances))
+    except (msgspec.MsgspecError, ValueError):
+        return None
+    return events.InstancesListed(instances)
 
 
 def _instance(row: _Row) -> models.Instance:
--- a/src/agateshelf/daemon/platform/store.py
+++ b/src/agateshelf/daemon/platform/store.py
@@ -7,6 +7,7 @@
 
 import curio
 import msgspec
+from returns import result
 
 from agateshelf.core import effects
 from agateshelf.core import events
@@ -65,12 +66,21 @@
         self, body: storage.StoreRequest, timeout: float
     ) -> storage.StoreAnswer:
         """Send a request and return its answer, `NoAnswer` after a timeout."""
-        request = request_of(body)
-        try:
-            answer = await http.fetch(self.address, request, timeout)
-            return read_answer(body, answer)
-        except (http.PlatformError, msgspec.MsgspecError, ValueError):
-            return storage.NoAnswer()
+        fetched = await http.fetch(self.address, request_of(body), timeout)
+        match fetched:
+            case result.Success(answer):
+                return _read_or_none(body, answer)
+            case _:
+                return storage.NoAnswer()
+
+
+def _read_or_none(
+    body: storage.StoreRequest, answer: http.PlatformAnswer
+) -> storage.StoreAnswer:
+    try:
+        return read_answer(body, answer)
+    except (msgspec.MsgspecError, ValueError):
+        return storage.NoAnswer()
 
 
 def request_of(body: storage.StoreRequest) -> http.PlatformRequest:
--- a/src/agateshelf/daemon/tracing.py
+++ b/src/agateshelf/daemon/tracing.py
@@ -120,17 +120,18 @@
         spans = [queue.popleft() for _ in range(count)]
         body = trace_encoder.encode_spans(spans).SerializeToString()
         request = http.PlatformRequest("POST", _EXPORT_PATH, (_PROTOBUF,), body)
-        try:
-            answer = await http.fetch(
-                self.collector, request, _EXPORT_TIMEOUT_SECONDS
-            )
-        except http.PlatformError:
-            self.metrics.count("traces.dropped", count)
-            return
-        if answer.status != _STATUS_OK:
+        fetched = await http.fetch(
+            self.collector, request, _EXPORT_TIMEOUT_SECONDS
+        )
+        taken = fetched.map(_is_taken).value_or(default_value=False)
+        if not taken:
             self.metrics.count("traces.dropped", count)
 
 
+def _is_taken(answer: http.PlatformAnswer) -> bool:
+    return answer.status == _STATUS_OK
+
+
 def parent_header(span: trace.Span) -> bytes:
     """Return the W3C `traceparent` that hops below continue from."""
     context = span.get_span_context()
