Take the capacity figures again on a quiet machine, with placing counted

Cause: the slopes took an entry without peers for the whole; calls that entries place together were not in them, and the bytes were measured at a home, which asks nobody.

--- a/bench/sizing.py
+++ b/bench/sizing.py
@@ -75,6 +75,12 @@
             f"{processor.slope:.2f} ms",
             "entry/processor",
         ),
+        Row(
+            "caller side",
+            "the same for an entry that asks nobody",
+            f"{slopes['entry/processor-alone'].slope:.2f} ms",
+            "entry/processor-alone",
+        ),
         Row(
             "caller side",
             "entries for all calls, each core 60% busy",
@@ -94,6 +100,12 @@
     memory = slopes["routing/memory"].at(TARGETS) / _KIBIBYTES_PER_MEBIBYTE
     decision = slopes["routing/decision"].at(math.log2(TARGETS))
     return [
+        Row(
+            "routing",
+            "traffic of placing calls for each entry",
+            f"{_placing_traffic(slopes):.0f} KB/s of 4.1",
+            "entry/peer-bytes, at the calls an entry carries",
+        ),
         Row(
             "routing",
             "state, were all targets in one service",
@@ -109,6 +121,11 @@
     ]
 
 
+def _placing_traffic(slopes: abc.Mapping[str, fitting.Slope]) -> float:
+    calls = CALLS_PER_SECOND / entries_needed(slopes)
+    return slopes["entry/peer-bytes"].slope * 1.024 * calls
+
+
 def _claim_rows(slopes: abc.Mapping[str, fitting.Slope]) -> list[Row]:
     bookings = CALLS_PER_SECOND * BOOKING_SHARE
     record = slopes["claims/memory"].slope
--- a/bench/slopes_live.py
+++ b/bench/slopes_live.py
@@ -149,12 +149,17 @@
 
 
 def _placing_bytes(entries: list[system.Entry]) -> fitting.Slope:
+    """Measure what all entries send each other for the calls they place."""
     points = []
-    with contextlib.closing(connect(entries[0])) as sock:
+    with contextlib.ExitStack() as stack:
+        socks = [
+            stack.enter_context(contextlib.closing(connect(entry)))
+            for entry in entries
+        ]
         for count in _CALL_COUNTS:
             before = sum(_sent_bytes(entry) for entry in entries)
-            for _ in range(count):
-                call(sock)
+            for number in range(count):
+                call(socks[number % len(socks)])
             sent = sum(_sent_bytes(entry) for entry in entries) - before
             points.append(fitting.Point(count, sent / _KIBIBYTE))
     return fitting.fit("entry/peer-bytes", "calls", "KiB", points)
