--- a/tests/daemon/administration/test_api.py
+++ b/tests/daemon/administration/test_api.py
@@ -4,6 +4,8 @@
 import hashlib
 import json
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from agateshelf_standins import system
@@ -172,3 +174,53 @@
     assert answer[0] == status
     assert says in json.loads(answer[1])["error"]
     assert ask(unchanged_admin, "/config")[1]["version"] == 1
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["op", "path", "value", "from", "version"]),
+            inner
+            | st.sampled_from(["add", "remove", "/services", "/teams", ""]),
+            max_size=4,
+        )
+    ),
+    max_leaves=8,
+)
+
+
+@hypothesis.given(
+    body=st.binary(max_size=64) | JSON_VALUES.map(json.dumps).map(str.encode),
+    version=st.sampled_from(['"1"', "1", "-1", "one", "9" * 30, ""]),
+    patch_id=st.sampled_from(["fine", "not fine", "x" * 65, "/", ""]),
+)
+def test_malformed_patches_change_nothing(
+    unchanged_admin, body, version, patch_id
+):
+    hypothesis.assume(body.strip() != b"[]")
+    headers = {
+        "Content-Type": PATCH_TYPE,
+        "If-Match": version,
+        "Patch-Id": patch_id,
+        "Authorization": f"Bearer {ROOT_TOKEN}",
+    }
+    status, answer = system.request(
+        unchanged_admin, "PATCH", "/config", body, headers
+    )
+    assert status in (400, 422, 428)
+    assert json.loads(answer)["error"]
+    assert ask(unchanged_admin, "/config")[1]["version"] == 1
+
+
+def test_an_oversized_patch_is_refused_whole(unchanged_admin):
+    value = "x" * (2 << 20)
+    status, _ = submit(
+        unchanged_admin,
+        [{"op": "add", "path": "/services/recall/team", "value": value}],
+        1,
+        "large",
+    )
+    assert status == 413
+    assert ask(unchanged_admin, "/config")[1]["version"] == 1
