--- a/tests/daemon/administration/test_api.py
+++ b/tests/daemon/administration/test_api.py
@@ -65,8 +65,10 @@
 def unchanged_admin():
     """The API of an entry shared by tests that change nothing."""
     processes = system.create_system()
-    yield start_administered_entry(processes)
-    processes.stop()
+    try:
+        yield start_administered_entry(processes)
+    finally:
+        processes.stop()
 
 
 def start_administered_entry(running):
