Write answers by one function; take out what nothing calls

Cause: two functions wrote a held answer in the same way, one for targets' and one for this entry's own. Three definitions had no caller left.

--- a/bench/routing_baselines.py
+++ b/bench/routing_baselines.py
@@ -189,6 +189,3 @@
                 self.rng.random(),
             ),
         )
-
-
-BASELINES: tuple[type[Way], ...] = (Random, RoundRobin, OwnLeast, PolledTwo)
--- a/src/agateshelf/core/limits/rates.py
+++ b/src/agateshelf/core/limits/rates.py
@@ -46,17 +46,6 @@
     return True
 
 
-def seconds_to_next(
-    rates: models.RatesState, key: models.ShareKey, now: float
-) -> float:
-    """Return how long until this entry has a token for a share again."""
-    part = rates.parts[key]
-    allowance = allowance_of(rates, part, now)
-    if allowance <= 0:
-        return const.RETRY_AFTER_SECONDS
-    return max(const.RETRY_AFTER_SECONDS, (1 - part.tokens) / allowance)
-
-
 def refill(rates: models.RatesState, part: models.RatePart, now: float) -> None:
     """Fill the bucket for the time that has passed; never above the burst.
 
--- a/src/agateshelf/daemon/administration/server.py
+++ b/src/agateshelf/daemon/administration/server.py
@@ -55,14 +55,14 @@
                 request = await reading.read_request(conn)
             except reading.BadRequestError as exc:
                 reply = problems.malformed(exc.status, exc.reason, exc.detail)
-                await writing.write_reply(
+                await writing.write_whole(
                     conn, reply, head_only=False, close=True
                 )
                 return
             if request is None:
                 return
             reply = await self._reply_to(request)
-            await writing.write_reply(
+            await writing.write_whole(
                 conn,
                 reply,
                 head_only=request.method == b"HEAD",
--- a/src/agateshelf/daemon/callers/server.py
+++ b/src/agateshelf/daemon/callers/server.py
@@ -137,7 +137,7 @@
         reply = problems.untaken(
             exc.status, exc.reason, exc.detail, exc.retry_after
         )
-        await writing.write_reply(conn, reply, head_only=False, close=True)
+        await writing.write_whole(conn, reply, head_only=False, close=True)
         await writing.linger(conn)
 
     async def _serve_request(
@@ -199,12 +199,12 @@
         match word:
             case outcome_models.Refusal() as refusal:
                 reply = problems.reply_of(refusal)
-                await writing.write_reply(
+                await writing.write_whole(
                     conn, reply, head_only=head_only, close=close
                 )
             case answers.Answer(source=None) as answer:
                 try:
-                    await writing.write_answer(
+                    await writing.write_whole(
                         conn, answer, head_only=head_only, close=close
                     )
                 finally:
--- a/src/agateshelf/daemon/callers/writing.py
+++ b/src/agateshelf/daemon/callers/writing.py
@@ -20,75 +20,33 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-async def write_reply(
+async def write_whole(
     conn: reading.CallerConnection,
-    reply: problems.Reply,
+    word: problems.Reply | answers.Answer,
     *,
     head_only: bool,
     close: bool,
 ) -> None:
-    """Write an answer of this entry's own.
+    """Write an answer that is held whole, a target's or this entry's own.
 
     Raises:
         OSError: The connection is broken.
     """
-    await _write_whole(
-        conn,
-        reply.status,
-        reply.reason,
-        reply.headers,
-        reply.body,
-        head_only=head_only,
-        close=close,
-    )
-
-
-async def write_answer(
-    conn: reading.CallerConnection,
-    answer: answers.Answer,
-    *,
-    head_only: bool,
-    close: bool,
-) -> None:
-    """Write a target's answer that is held whole.
-
-    Raises:
-        OSError: The connection is broken.
-    """
-    await _write_whole(
-        conn,
-        answer.status,
-        answer.reason,
-        answer.headers,
-        answer.body,
-        head_only=head_only,
-        close=close,
-    )
-
-
-async def _write_whole(
-    conn: reading.CallerConnection,
-    status: int,
-    reason: bytes,
-    headers: messages.Headers,
-    body: bytes,
-    *,
-    head_only: bool,
-    close: bool,
-) -> None:
-    lines = list(headers)
-    has_body = not head_only and status not in _BODILESS_STATUSES
+    lines = list(word.headers)
+    has_body = not head_only and word.status not in _BODILESS_STATUSES
     if has_body:
         lines = [pair for pair in lines if pair[0] != b"content-length"]
-        lines.append((b"content-length", b"%d" % len(body)))
+        lines.append((b"content-length", b"%d" % len(word.body)))
     if close:
         lines.append((b"connection", b"close"))
     head = h11.Response(
-        status_code=status, headers=messages.sendable(lines), reason=reason
+        status_code=word.status,
+        headers=messages.sendable(lines),
+        reason=word.reason,
     )
     parts = [conn.protocol.send(head)]
-    if body and has_body:
-        parts.append(conn.protocol.send(h11.Data(data=body)))
+    if word.body and has_body:
+        parts.append(conn.protocol.send(h11.Data(data=word.body)))
     parts.append(conn.protocol.send(_END))
     await _send(conn, b"".join(parts))
 
--- a/src/agateshelf_standins/keyvalue.py
+++ b/src/agateshelf_standins/keyvalue.py
@@ -218,10 +218,6 @@
             else:
                 heapq.heappush(self._due, (held.expires, lease))
 
-    def next_expiry(self) -> float | None:
-        """Returns the earliest time at which a lease may lapse."""
-        return self._due[0][0] if self._due else None
-
     def snapshot(self) -> "KeyValueStore":
         """Returns a copy for reading: the keys of now, without leases."""
         copy = KeyValueStore()
