Let a reader notice that the store has gone silent towards it

Each reader now asks a stale read of the routes every 0.8 s; unanswered for 0.4 s, it says that it reads no longer, and neighbours take over in order.

Ruled out: shorter watches (twenty times the calls); timeouts of the first read alone (the waiting watch is what deceives). Before: the known red test failed (all entries at version 1 after 2 s). The fleet's stand-in store now keeps silent until the read's timeout, where it had refused at once.

--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -562,5 +562,6 @@
     | TargetProbed
     | TurnDecided
     | feed_models.FeedDue
+    | feed_models.ReaderLeft
     | dispatch_models.DispatchTimer
 )
--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -8,7 +8,7 @@
 # Silence of the reader after which another entry takes its place; the further
 # back an entry stands, the longer it waits, so that one starts at a time.
 SILENCE_SECONDS: Final = 1.1
-SILENCE_STEP_SECONDS: Final = 0.5
+SILENCE_STEP_SECONDS: Final = 0.3
 MOST_SILENCE_STEPS: Final = 4
 # Time a starting entry gives its peers before it takes the reader's place.
 START_SECONDS: Final = 1.2
@@ -20,6 +20,12 @@
 RETRY_JITTER: Final = 0.3
 READ_TIMEOUT_SECONDS: Final = 1.5
 WATCH_SECONDS: Final = 10.0
+# Pause between a reader's checks that the store still answers it, and the
+# longest time it waits for one. With the time in which a neighbour takes over
+# they stay within two seconds, in which a change must be in force; a check is
+# a stale read, a tenth of a call's price.
+CHECK_SECONDS: Final = 0.8
+CHECK_TIMEOUT_SECONDS: Final = 0.4
 # Registrations that lapse while the store is away are back about two seconds
 # after its return (the platform's description of target registration).
 LAPSE_SECONDS: Final = 2.0
--- a/src/agateshelf/core/feed/handling.py
+++ b/src/agateshelf/core/feed/handling.py
@@ -45,8 +45,7 @@
     done = reading.adopt_items(state, lapses.take_due(state, now), _LAPSE)
     if state.stopping:
         return done
-    if not state.feed.reading and _is_silent(state, now):
-        done.extend(reading.start_reading(state, now))
+    done.extend(on_reader_left(state, now))
     if state.feed.reading:
         done.extend(reading.go_on_reading(state, now))
     else:
@@ -54,9 +53,20 @@
     return done
 
 
+def on_reader_left(state: core_state.State, now: float) -> Effects:
+    """Take the reader's place if it is this entry's turn."""
+    if state.stopping or state.feed.reading or not _is_silent(state, now):
+        return []
+    return reading.start_reading(state, now)
+
+
 def _is_silent(state: core_state.State, now: float) -> bool:
-    neighbours = sorted([*relaying.neighbours(state), state.identity.entry])
-    rank = neighbours.index(state.identity.entry)
+    me = state.identity.entry
+    rank = sum(
+        1
+        for entry in relaying.neighbours(state)
+        if entry < me and entry != state.feed.left
+    )
     steps = min(rank, const.MOST_SILENCE_STEPS)
     patience = const.SILENCE_SECONDS + steps * const.SILENCE_STEP_SECONDS
-    return now - state.feed.current_at > patience
+    return now - state.feed.current_at >= patience
--- a/src/agateshelf/core/feed/models.py
+++ b/src/agateshelf/core/feed/models.py
@@ -109,6 +109,10 @@
         reachable: Whether the last question to the store was answered.
         interrupted_until: Time until which removals may be lapses.
         held: Removals held back, by target.
+        check_request: Number of the check under way; 0 if there is none.
+        check_at: Time before which no further check is made.
+        deaf: Whether this reader's last check was not answered.
+        left: Neighbour that last said it reads no longer.
     """
 
     enabled: bool = False
@@ -123,8 +127,17 @@
     reachable: bool = True
     interrupted_until: float = -math.inf
     held: dict[str, HeldAbsence] = dataclasses.field(default_factory=dict)
+    check_request: int = 0
+    check_at: float = -math.inf
+    deaf: bool = False
+    left: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FeedDue:
     """Time to look after the feed (timer)."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReaderLeft:
+    """The failure domain's reader reads no longer (internal)."""
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -6,6 +6,7 @@
 from agateshelf.core.directory import handling as directory
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.feed import adoption
+from agateshelf.core.feed import checking
 from agateshelf.core.feed import const
 from agateshelf.core.feed import lapses
 from agateshelf.core.feed import models
@@ -20,6 +21,7 @@
     """Take the place of a reader that keeps silent."""
     feed = state.feed
     feed.reading = True
+    feed.deaf = False
     silent_for = round(now - feed.current_at, 3)
     done: Effects = [
         effects.Note(
@@ -44,7 +46,10 @@
         idle = topic_state.phase is models.Phase.IDLE
         if idle and now >= topic_state.retry_at:
             done.extend(read(state, topic, now, stale=False))
-    if relaying.watches_all(feed):
+    watched = relaying.watches_all(feed)
+    if watched:
+        done.extend(checking.check(state, now))
+    if watched and not feed.deaf:
         feed.current_at = now
         told = [
             *relaying.neighbours(state),
@@ -98,6 +103,8 @@
     state: core_state.State, now: float, event: events.FeedAnswered
 ) -> Effects:
     """Take an answer of the store in and ask on."""
+    if event.request == state.feed.check_request:
+        return checking.on_answer(state, event.answer)
     topic = state.feed.topic_of.pop(event.request, None)
     if topic is None:
         return []
@@ -150,6 +157,7 @@
 ) -> Effects:
     feed = state.feed
     feed.topics[topic].failures = 0
+    feed.deaf = False
     if feed.reachable:
         return []
     feed.reachable = True
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -136,7 +136,9 @@
 ) -> Effects:
     feed = state.feed
     if beat.leaving:
+        feed.left = peer
         feed.current_at = min(feed.current_at, now - const.SILENCE_SECONDS)
+        state.inbox.append(models.ReaderLeft())
         return []
     done: Effects = []
     behind = beat.revision > state.directory.revision
@@ -147,7 +149,9 @@
     if not _is_neighbour(state, peer):
         return done
     feed.reader = peer
-    if feed.reading and peer < state.identity.entry:
+    if feed.left == peer:
+        feed.left = None
+    if feed.reading and (feed.deaf or peer < state.identity.entry):
         done.extend(_stop_reading(state, peer))
     return done
 
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -160,6 +160,8 @@
             return feed_reading.on_answer(state, now, event)
         case feed_models.FeedDue():
             return feed.on_due(state, now)
+        case feed_models.ReaderLeft():
+            return feed.on_reader_left(state, now)
         case events.RoutesAdopted():
             return desks.open_own(state, now)
         case events.TargetsChanged():
--- a/tests/core/feed/test_feed.py
+++ b/tests/core/feed/test_feed.py
@@ -182,3 +182,39 @@
     fleet.change(table=routed_fleet.create_table(2))
     fleet.run_for(CONFIGURATION_SECONDS)
     assert versions(fleet) == {2}
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_routes_arrive_though_the_next_readers_are_not_answered_either(seed):
+    fleet = routed_fleet.create_fleet(("boston",) * 4 + ("hartford",), 3, seed)
+    fleet.run_for(0.1 * seed)
+    silent = [*readers(fleet), "10.0.0.1:7000"]
+    for name in silent:
+        fleet.nodes[name].store_silent = True
+    fleet.change(table=routed_fleet.create_table(2))
+    fleet.run_for(CONFIGURATION_SECONDS)
+    assert versions(fleet) == {2}
+
+
+def test_a_store_that_answers_no_one_is_heard_again_in_time(fleet):
+    for node in fleet.nodes.values():
+        node.store_silent = True
+    fleet.run_for(6.0)
+    fleet.change(table=routed_fleet.create_table(2))
+    for node in fleet.nodes.values():
+        node.store_silent = False
+    fleet.run_for(CONFIGURATION_SECONDS)
+    assert versions(fleet) == {2}
+    fleet.run_for(3.0)
+    domains = [
+        fleet.nodes[name].state.identity.failure_domain
+        for name in readers(fleet)
+    ]
+    assert sorted(domains) == ["boston", "hartford", "portland"]
+
+
+def test_checks_of_the_store_are_asked_by_readers_alone(fleet):
+    fleet.store_calls = 0
+    fleet.run_for(8.0)
+    # Three readers, each a check every 0.8 seconds.
+    assert fleet.store_calls <= 3 * 11
--- a/tests/core/routed_fleet.py
+++ b/tests/core/routed_fleet.py
@@ -78,6 +78,7 @@
     words: dict = dataclasses.field(default_factory=dict)
     notes: list = dataclasses.field(default_factory=list)
     probes: int = 0
+    ended_probes: set = dataclasses.field(default_factory=set)
 
 
 class RoutedFleet:
@@ -158,7 +159,8 @@
                     )
             case effects.ReadFeed():
                 self.store_calls += 1
-                self.at(self.now + STORE_SECONDS, self._read, node, effect)
+                pause = effect.timeout if node.store_silent else STORE_SECONDS
+                self.at(self.now + pause, self._read, node, effect)
             case effects.WatchFeed():
                 self.store_calls += 1
                 self.watches.append((node, effect))
@@ -172,6 +174,8 @@
             case effects.ProbeTarget():
                 node.probes += 1
                 self.at(self.now + MESSAGE_SECONDS, self._probe, node, effect)
+            case effects.EndProbes():
+                node.ended_probes.update(effect.targets)
             case effects.Note():
                 node.notes.append((self.now, effect))
 
