Close what is open for probes when a target is gone

Cause: nothing called the prober's clean-up, so a home kept an idle connection to each target it had ever probed. Also takes out two unused names of forwarding and routes.

--- a/src/agateshelf/core/dispatch/desks.py
+++ b/src/agateshelf/core/dispatch/desks.py
@@ -59,6 +59,7 @@
 ) -> Effects:
     """Follow registrations; what waits may find a target now."""
     touched = set()
+    gone = set()
     for target in event.targets:
         registration = state.directory.targets.get(target)
         for desk in state.dispatch.desks.values():
@@ -71,7 +72,10 @@
                 touched.add(desk.service)
             elif desk.targets.pop(target, None) is not None:
                 touched.add(desk.service)
+                gone.add(target)
     done: Effects = []
+    if gone:
+        done.append(effects.EndProbes(tuple(sorted(gone))))
     for service in sorted(touched):
         done.extend(decide(state, now, state.dispatch.desks[service]))
     return done
--- a/src/agateshelf/core/dispatch/probing.py
+++ b/src/agateshelf/core/dispatch/probing.py
@@ -32,7 +32,7 @@
         return []
     if _is_idle(state, now, desk):
         desk.probing = False
-        return []
+        return [effects.EndProbes(tuple(desk.targets))]
     seconds = interval(state.dispatch.bounds)
     jitter = 1 + const.PROBE_JITTER * state.rng.uniform(-1, 1)
     timers.schedule(
--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -235,6 +235,16 @@
     timeout: float
 
 
+class EndProbes(msgspec.Struct, frozen=True):
+    """Close what is kept open for the probes of these targets.
+
+    Attributes:
+        targets: Identifiers of the targets.
+    """
+
+    targets: tuple[str, ...]
+
+
 class Note(msgspec.Struct, frozen=True):
     """Log one decision, or one change of what is believed.
 
@@ -274,5 +284,6 @@
     | StopFeed
     | AdoptLimits
     | ProbeTarget
+    | EndProbes
     | Note
 )
--- a/src/agateshelf/core/forwarding/const.py
+++ b/src/agateshelf/core/forwarding/const.py
@@ -4,9 +4,6 @@
 
 # Crashes of targets after which a request is given to no further one.
 POISON_CRASHES: Final = 2
-# Time that an answer needs back to its caller: a target is told to end so
-# much before the caller gives up.
-RETURN_SECONDS: Final = 0.015
 # Time left below which another attempt is of no use.
 LEAST_ATTEMPT_SECONDS: Final = 0.03
 NOT_READY_RETRY_SECONDS: Final = 0.5
--- a/src/agateshelf/core/routes/matching.py
+++ b/src/agateshelf/core/routes/matching.py
@@ -43,8 +43,3 @@
     if colon and port.isdigit():
         return name.lower()
     return host.lower()
-
-
-def services_of(table: models.RouteTable) -> set[str]:
-    """Return the names of the services that any route goes to."""
-    return {share.service for route in table.routes for share in route.shares}
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -171,6 +171,8 @@
         match effect:
             case effects.ProbeTarget() if self.prober is not None:
                 await self.prober.probe(effect, self.post)
+            case effects.EndProbes() if self.prober is not None:
+                await self.prober.end(effect.targets)
             case effects.ReadFeed() if self.feed is not None:
                 await self.feed.read(effect, self.post)
             case effects.WatchFeed() if self.feed is not None:
--- a/src/agateshelf/daemon/targets/probing.py
+++ b/src/agateshelf/daemon/targets/probing.py
@@ -26,16 +26,19 @@
 
     Attributes:
         dialect: Names of the headers.
+        wanted: Targets that are being probed.
         kept: Idle connections by target.
     """
 
     dialect: daemon_dialect.Dialect
+    wanted: set[str] = dataclasses.field(default_factory=set)
     kept: dict[str, connection.TargetConnection] = dataclasses.field(
         default_factory=dict
     )
 
     async def probe(self, effect: effects.ProbeTarget, post: Post) -> None:
         """Probe a target on a task of its own; an event follows."""
+        self.wanted.add(effect.target)
         await curio.spawn(self._probe, effect, post, daemon=True)
 
     async def _probe(self, effect: effects.ProbeTarget, post: Post) -> None:
@@ -63,7 +66,7 @@
         except BaseException:
             await conn.close()
             raise
-        if conn.reusable():
+        if conn.reusable() and effect.target in self.wanted:
             conn.protocol.start_next_cycle()
             self.kept[effect.target] = conn
         else:
@@ -101,7 +104,10 @@
             return None
         return events.TargetLoad(0, 0, 1)
 
-    async def drop_others(self, targets: abc.Container[str]) -> None:
-        """Close the connections to targets that are not among these."""
-        for target in [name for name in self.kept if name not in targets]:
-            await self.kept.pop(target).close()
+    async def end(self, targets: abc.Iterable[str]) -> None:
+        """Close the idle connections to targets that are probed no longer."""
+        for target in targets:
+            self.wanted.discard(target)
+            conn = self.kept.pop(target, None)
+            if conn is not None:
+                await conn.close()
--- a/tests/core/dispatch/test_dispatch.py
+++ b/tests/core/dispatch/test_dispatch.py
@@ -7,6 +7,7 @@
 from tests.core import routed_fleet
 
 from agateshelf.core import events
+from agateshelf.core.directory import models as directory_models
 from agateshelf.core.dispatch import homes
 from agateshelf.core.outcomes import models as outcome_models
 
@@ -55,6 +56,13 @@
     assert max(most.values()) <= 2
 
 
+def test_what_is_open_for_probes_is_closed_with_the_target(fleet):
+    # A home kept an idle connection to each target that was ever probed.
+    fleet.change(directory_models.Absence("t0", 0))
+    fleet.run_for(0.1)
+    assert home_of(fleet).ended_probes == {"t0"}
+
+
 def test_only_the_home_probes(fleet):
     before = {node.name: node.probes for node in fleet.nodes.values()}
     fleet.run_for(5.0)
