Speak to the platform's store by one client; drop the instance list

Cause: entries without routes still spoke an invented key-value protocol and read an invented list of instances, which the platform has not. The stand-in store now answers the platform's protocol (kv-key, kv-range, kv-watch, kv-txn, kv-lease, kv-keep: 403, 404, 410, 412, silence, lost answers), and the one client in platform/ carries both what the feed reads and what configuration and claims ask.

Taken out with the list: its client, events, beliefs and four tests of them (wrong lists, the list introducing entries, an entry without peers, a target listed as leaving). In their place: an entry without peers knows nobody else; a leaving target is heard of from a peer in the three tests that used the list, and is used again once the configuration gives it another address.

--- a/script/demo.py
+++ b/script/demo.py
@@ -81,14 +81,13 @@
 def start(running: system.System) -> None:
     """Start the platform, the targets and two entries."""
     store = running.start_stand_in("store", "--port", "0")
-    instances = running.start_stand_in("instances", "--port", "0")
     document = {
         "services": {
             name: service_document(running, name) for name in SERVICES
         },
     }
     system.put_configuration(store.address, document)
-    platform = {"store": store.address, "instances": instances.address}
+    platform = {"store": store.address}
     first = entry_settings(0, CALLERS_PORT, ADMIN_PORT, platform)
     second = entry_settings(1, SECOND_CALLERS_PORT, SECOND_ADMIN_PORT, platform)
     system.connect_peers([first, second])
--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -129,12 +129,6 @@
     peer: str
 
 
-class ListInstances(msgspec.Struct, frozen=True):
-    """Read the platform's list of instances; one event follows."""
-
-    timeout: float
-
-
 class CheckConfiguration(msgspec.Struct, frozen=True):
     """Check a content; `ConfigurationRead` or `ConfigurationInvalid` follows.
 
@@ -274,7 +268,6 @@
     | SendToPeers
     | KnowPeer
     | ForgetPeer
-    | ListInstances
     | CheckConfiguration
     | AnswerPatch
     | AnswerHistory
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -302,28 +302,6 @@
     has_feed: bool = False
 
 
-class InstancesListed(msgspec.Struct, frozen=True):
-    """The platform's list of instances was read; it may be wrong."""
-
-    instances: tuple[membership_models.Instance, ...]
-
-
-class InstancesNotListed(msgspec.Struct, frozen=True):
-    """The platform's list of instances could not be read."""
-
-
-class TargetListed(msgspec.Struct, frozen=True):
-    """The platform's list came to show a target otherwise (internal).
-
-    Attributes:
-        target: Identifier of the target.
-        leaving: Whether the list says that it is leaving.
-    """
-
-    target: str
-    leaving: bool
-
-
 class PeerVersionHeard(msgspec.Struct, frozen=True):
     """Another entry said which configuration it has in force (internal)."""
 
@@ -539,9 +517,6 @@
     | PeerSpoke
     | EntriesSeen
     | Started
-    | InstancesListed
-    | InstancesNotListed
-    | TargetListed
     | PeerVersionHeard
     | ConfigurationInvalid
     | PatchRequested
--- a/src/agateshelf/core/membership/handling.py
+++ b/src/agateshelf/core/membership/handling.py
@@ -5,7 +5,6 @@
 from agateshelf.core import state as core_state
 from agateshelf.core.membership import beliefs
 from agateshelf.core.membership import const
-from agateshelf.core.membership import listing
 from agateshelf.core.membership import messages
 from agateshelf.core.membership import models
 from agateshelf.core.membership import probing
@@ -17,14 +16,12 @@
 def on_started(
     state: core_state.State, now: float, event: events.Started
 ) -> list[effects.Effect]:
-    """Begin to speak to other entries and to read the platform's list."""
+    """Begin to speak to other entries."""
     membership = state.membership
     membership.active = True
-    membership.has_list = not event.has_feed
-    done: list[effects.Effect] = listing.on_due(state)
     view.post_live(state)
     if event.address is None:
-        return done
+        return []
     membership.has_peers = True
     membership.live = None
     membership.me = models.Member(
@@ -38,8 +35,7 @@
     for seed in event.seeds:
         membership.contacts[seed.entry] = seed.address
     probing.schedule_round(state, now)
-    done.extend(_ping_contacts(state, now))
-    return done
+    return _ping_contacts(state, now)
 
 
 def on_seeds(
@@ -61,22 +57,6 @@
     return done
 
 
-def on_listed(
-    state: core_state.State, now: float, event: events.InstancesListed
-) -> list[effects.Effect]:
-    """Take a list in; one who knows nobody speaks to its entries at once."""
-    done = listing.on_listed(state, now, event)
-    if state.membership.has_peers and not state.membership.members:
-        done.extend(_ping_contacts(state, now))
-    return done
-
-
-def on_not_listed(state: core_state.State, now: float) -> list[effects.Effect]:
-    """Go on with the list of before."""
-    listing.schedule(state, now)
-    return [effects.Count("instances.not_listed")]
-
-
 def on_stop(state: core_state.State, now: float) -> list[effects.Effect]:
     """Tell a few entries that this one is leaving; they pass it on."""
     me = state.membership.me
@@ -104,8 +84,6 @@
             return beliefs.on_suspicion_due(state, now, event)
         case models.ForgetDue():
             return beliefs.on_forget_due(state, event)
-        case models.ListingDue():
-            return listing.on_due(state)
 
 
 def on_message(
--- a/src/agateshelf/core/membership/view.py
+++ b/src/agateshelf/core/membership/view.py
@@ -13,7 +13,7 @@
 def live_entries(state: core_state.State) -> tuple[str, ...]:
     """Return the entries thought to be live, oneself included, in order.
 
-    An entry without peers knows the others from the platform's list only.
+    An entry without peers knows of no others.
     """
     membership = state.membership
     if membership.live is None:
@@ -24,8 +24,6 @@
 def _compute_live(state: core_state.State) -> tuple[str, ...]:
     membership = state.membership
     found = {state.identity.entry}
-    if not membership.has_peers:
-        found.update(membership.listed)
     for member in membership.members.values():
         if member.status in _PRESENT:
             found.add(member.entry)
@@ -46,9 +44,7 @@
     if entry == state.identity.entry:
         return state.identity.failure_domain
     member = state.membership.members.get(entry)
-    if member is not None:
-        return member.failure_domain
-    return state.membership.listed.get(entry)
+    return None if member is None else member.failure_domain
 
 
 def neighbours(state: core_state.State) -> tuple[str, ...]:
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -205,13 +205,6 @@
             return _on_started(state, now, event)
         case events.SeedsChanged():
             return membership.on_seeds(state, event)
-        case events.InstancesListed():
-            return membership.on_listed(state, now, event)
-        case events.InstancesNotListed():
-            return membership.on_not_listed(state, now)
-        case events.TargetListed():
-            groups.adopt_listed(state.routing, event)
-            return []
         case events.TargetRefused():
             return poison.on_refused(state, now, event)
         case events.EntriesSeen():
@@ -221,7 +214,6 @@
             | membership_models.AnswerDue()
             | membership_models.SuspicionDue()
             | membership_models.ForgetDue()
-            | membership_models.ListingDue()
         ):
             return membership.on_timer(state, now, event)
         case _:
--- a/src/agateshelf/core/routing/diagnostics.py
+++ b/src/agateshelf/core/routing/diagnostics.py
@@ -45,8 +45,6 @@
     """Return in a few words what is believed of a target, and why."""
     if view.target.draining:
         return "draining (configuration)"
-    if view.listed_leaving:
-        return "draining (instance list)"
     if view.draining:
         return "draining (its own word)"
     if view.breaker.open_until is not None:
--- a/src/agateshelf/core/routing/groups.py
+++ b/src/agateshelf/core/routing/groups.py
@@ -135,20 +135,6 @@
             group.home = home_of(routing, group.name)
 
 
-def adopt_listed(
-    routing: models.RoutingState, event: events.TargetListed
-) -> None:
-    """Follow the platform's list; a target that is back may be used."""
-    for service in routing.services.values():
-        target = service.targets.get(event.target)
-        if target is None:
-            continue
-        view = service.views.setdefault(event.target, models.TargetView(target))
-        view.listed_leaving = event.leaving
-        if not event.leaving:
-            view.draining = False
-
-
 def known_view(service: models.ServiceView, target: str) -> models.TargetView:
     """Return the view of a service's target, made if there is none."""
     view = service.views.get(target)
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -23,10 +23,9 @@
 from agateshelf.daemon import metrics
 from agateshelf.daemon import notes
 from agateshelf.daemon import operations
+from agateshelf.daemon import stores
 from agateshelf.daemon.callers import exchanges as caller_exchanges
 from agateshelf.daemon.peers import transport
-from agateshelf.daemon.platform import instances
-from agateshelf.daemon.platform import store
 from agateshelf.daemon.targets import answers
 from agateshelf.daemon.targets import checking
 from agateshelf.daemon.targets import client
@@ -60,7 +59,6 @@
         targets: Client towards the targets.
         metrics: Counters that go to the metrics service.
         store: Client towards the platform's store.
-        instances: Client towards the platform's list of instances.
         feed: Client towards what the platform says of routes and targets.
         prober: Probes targets.
         note_log: Structured log of decisions.
@@ -79,8 +77,7 @@
     exchanges: caller_exchanges.Exchanges
     targets: client.TargetClient
     metrics: metrics.Metrics
-    store: store.StoreClient | None
-    instances: instances.InstancesClient | None
+    store: stores.StoreClient | None = None
     feed: feeds.FeedClient | None = None
     prober: probing.Prober | None = None
     note_log: notes.NoteLog | None = None
@@ -149,8 +146,6 @@
             case effects.ForgetPeer():
                 if self.peers is not None:
                     self.peers.forget(effect.peer)
-            case effects.ListInstances() if self.instances is not None:
-                await self.instances.ask(effect.timeout, self.post)
             case effects.CheckConfiguration():
                 await self._check(effect)
             case effects.Warn():
--- a/src/agateshelf/daemon/platform/http.py
+++ b/src/agateshelf/daemon/fetching.py
@@ -1,4 +1,4 @@
-"""One HTTP request to a platform service, on a connection of its own."""
+"""One HTTP request to another service, on a connection of its own."""
 
 import dataclasses
 
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoAnswer:
-    """A platform service gave no whole answer; what it did is not known.
+    """A service gave no whole answer; what it did is not known.
 
     Attributes:
         reason: What went wrong, for logs.
@@ -24,8 +24,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PlatformAnswer:
-    """A platform service's answer."""
+class Answer:
+    """A service's answer."""
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
@@ -33,8 +33,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PlatformRequest:
-    """A request to a platform service."""
+class Request:
+    """A request to a service."""
 
     method: str
     path: str
@@ -44,11 +44,11 @@
 
 async def fetch(
     address: str,
-    request: PlatformRequest,
+    request: Request,
     timeout: float,
     *,
     notices_silence: bool = False,
-) -> result.Result[PlatformAnswer, NoAnswer]:
+) -> result.Result[Answer, NoAnswer]:
     """Send a request; return its answer, or none after a timeout.
 
     Args:
@@ -67,8 +67,8 @@
 
 
 async def _exchange(
-    address: str, request: PlatformRequest, notices_silence: bool
-) -> PlatformAnswer:
+    address: str, request: Request, notices_silence: bool
+) -> Answer:
     conn = connection.create_connection(address)
     try:
         if notices_silence:
@@ -82,7 +82,7 @@
 
 
 def _request_bytes(
-    conn: connection.TargetConnection, address: str, request: PlatformRequest
+    conn: connection.TargetConnection, address: str, request: Request
 ) -> bytes:
     headers = [("host", address), *request.headers]
     headers.append(("content-length", str(len(request.body))))
@@ -96,7 +96,7 @@
     return b"".join(parts)
 
 
-async def _read(conn: connection.TargetConnection) -> PlatformAnswer:
+async def _read(conn: connection.TargetConnection) -> Answer:
     head = await conn.next_event()
     if not isinstance(head, h11.Response):
         raise h11.RemoteProtocolError("no answer")
@@ -110,6 +110,4 @@
         if size > _MAX_BODY_BYTES:
             raise h11.RemoteProtocolError("answer too large")
         parts.append(bytes(event.data))
-    return PlatformAnswer(
-        head.status_code, tuple(head.headers), b"".join(parts)
-    )
+    return Answer(head.status_code, tuple(head.headers), b"".join(parts))
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -31,14 +31,14 @@
 from agateshelf.daemon.callers import memory
 from agateshelf.daemon.callers import server as callers
 from agateshelf.daemon.peers import transport
-from agateshelf.daemon.platform import instances
-from agateshelf.daemon.platform import store
-from agateshelf.daemon.targets import client
+from agateshelf.daemon.targets import client as target_client
 from agateshelf.daemon.targets import pool
 from agateshelf.daemon.targets import probing
 from agateshelf.documents import settings
+from agateshelf.platform import client
 from agateshelf.platform import dialect
 from agateshelf.platform import feed
+from agateshelf.platform import store
 
 if TYPE_CHECKING:
     from agateshelf.daemon import tracing
@@ -105,7 +105,7 @@
     driver = daemon_driver.Driver(
         state=core_state.create_state(identity, seed),
         exchanges=exchanges.Exchanges(),
-        targets=client.TargetClient(
+        targets=target_client.TargetClient(
             connections=pool.Pool(cfg.limits.kept_target_connections),
             held_bytes=cfg.limits.held_answer_bytes,
             via=cfg.entry.encode(),
@@ -113,8 +113,6 @@
         ),
         metrics=counted,
         traces=_create_traces(cfg, counted),
-        store=None,
-        instances=None,
     )
     if cfg.routes is None:
         _use_services(driver, cfg)
@@ -147,9 +145,7 @@
 
 def _use_services(driver: daemon_driver.Driver, cfg: settings.Settings) -> None:
     """Serve the services of a configuration that operators patch."""
-    driver.store = store.StoreClient(cfg.platform.store)
-    if cfg.platform.instances is not None:
-        driver.instances = instances.InstancesClient(cfg.platform.instances)
+    driver.store = store.StoreClient(client.Client(cfg.platform.store))
 
 
 def _use_routes(
@@ -159,7 +155,7 @@
 ) -> None:
     """Serve the routes that the platform's store holds."""
     driver.targets.dialect = dialect.DIALECT
-    driver.feed = feed.Feed(cfg.platform.store)
+    driver.feed = feed.Feed(client.Client(cfg.platform.store))
     driver.prober = probing.Prober(dialect.DIALECT)
     driver.state.dispatch.bounds = reloading.bounds_of(bounds)
 
--- a/src/agateshelf/daemon/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The side towards the platform's services."""
--- a/src/agateshelf/daemon/tracing.py
+++ b/src/agateshelf/daemon/tracing.py
@@ -22,9 +22,9 @@
 from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
+from agateshelf.daemon import fetching
 from agateshelf.daemon import messages
 from agateshelf.daemon import metrics
-from agateshelf.daemon.platform import http
 from agateshelf.documents import settings
 
 MAX_QUEUED_SPANS = 4096
@@ -153,8 +153,8 @@
         count = min(EXPORT_SPANS, len(queue))
         spans = [queue.popleft() for _ in range(count)]
         body = trace_encoder.encode_spans(spans).SerializeToString()
-        request = http.PlatformRequest("POST", _EXPORT_PATH, (_PROTOBUF,), body)
-        fetched = await http.fetch(
+        request = fetching.Request("POST", _EXPORT_PATH, (_PROTOBUF,), body)
+        fetched = await fetching.fetch(
             self.collector, request, _EXPORT_TIMEOUT_SECONDS
         )
         taken = fetched.map(_is_taken).value_or(default_value=False)
@@ -162,7 +162,7 @@
             self.metrics.count("traces.dropped", count)
 
 
-def _is_taken(answer: http.PlatformAnswer) -> bool:
+def _is_taken(answer: fetching.Answer) -> bool:
     return answer.status == _STATUS_OK
 
 
--- a/src/agateshelf/documents/settings.py
+++ b/src/agateshelf/documents/settings.py
@@ -82,10 +82,13 @@
 
 
 class Platform(records.Record, frozen=True, kw_only=True):
-    """Addresses of the platform's services."""
+    """Where the platform is reached.
+
+    Attributes:
+        store: `HOST:PORT` of its key-value store.
+    """
 
     store: Address
-    instances: Address | None = None
 
 
 class Seed(records.Record, frozen=True, kw_only=True):
@@ -192,8 +195,6 @@
         """Refuse settings of neither kind of entry."""
         if self.routes is None and self.administration is None:
             raise ValueError("administration is needed without routes")
-        if self.routes is None and self.platform.instances is None:
-            raise ValueError("platform.instances is needed without routes")
 
 
 def read_settings(path: pathlib.Path) -> Settings:
--- a/src/agateshelf/platform/documents.py
+++ b/src/agateshelf/platform/documents.py
@@ -4,8 +4,6 @@
 readable makes that one item count for nothing, never its neighbours.
 """
 
-import base64
-import binascii
 from collections import abc
 from typing import Annotated
 
@@ -14,6 +12,7 @@
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.routes import models as route_models
 from agateshelf.platform import const
+from agateshelf.platform import items as platform_items
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
@@ -76,54 +75,21 @@
     limits: _Limits
 
 
-class Item(msgspec.Struct):
-    """One item of the store, or the mark that it was removed.
-
-    `value` is base64; `tombstone` is set on a removal.
-    """
-
-    key: str
-    revision: int
-    value: str | None = None
-    tombstone: bool = False
-
-
-class ItemAnswer(Item):
-    """The answer to the question for one key."""
-
-    current_rev: int = 0
-
-
-class Page(msgspec.Struct):
-    """A page of the items under a prefix."""
-
-    items: list[Item]
-    has_more: bool
-    current_rev: int
-
-
-class Events(msgspec.Struct):
-    """What changed under a prefix."""
-
-    events: list[Item]
-    current_rev: int
-
-
 _target_decoder = msgspec.json.Decoder(_Target)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 
 
 def targets_of(
-    items: abc.Iterable[Item],
+    items: abc.Iterable[platform_items.Item],
 ) -> tuple[directory_models.Item, ...]:
     """Return the registrations that items hold."""
     return tuple(_target_of(item) for item in items)
 
 
-def _target_of(item: Item) -> directory_models.Item:
+def _target_of(item: platform_items.Item) -> directory_models.Item:
     identifier = item.key.removeprefix(const.PREFIX_TARGETS)
     absent = directory_models.Absence(identifier, item.revision)
-    data = _bytes_of(item)
+    data = platform_items.value_of(item)
     if data is None:
         return absent
     try:
@@ -145,22 +111,15 @@
     )
 
 
-def _bytes_of(item: Item) -> bytes | None:
-    if item.tombstone or item.value is None:
-        return None
-    try:
-        return base64.b64decode(item.value, validate=True)
-    except (binascii.Error, ValueError):
-        return None
-
-
-def table_of(items: abc.Iterable[Item]) -> route_models.RouteTable | None:
+def table_of(
+    items: abc.Iterable[platform_items.Item],
+) -> route_models.RouteTable | None:
     """Return the newest routes that items hold; None if there are none."""
     table: route_models.RouteTable | None = None
     for item in items:
         if item.key != const.KEY_ROUTES:
             continue
-        data = _bytes_of(item)
+        data = platform_items.value_of(item)
         read = None if data is None else _read_table(data)
         if read is not None and (table is None or read.version > table.version):
             table = read
--- a/src/agateshelf_standins/keyvalue.py
+++ b/src/agateshelf_standins/keyvalue.py
@@ -43,6 +43,7 @@
     version: int
     value: bytes
     lease: str | None = None
+    created: int = 0
 
 
 @dataclasses.dataclass
@@ -109,10 +110,48 @@
             self._leases[lease].keys.add(key)
         if key not in self._entries:
             bisect.insort(self._sorted, key)
+        before = self._entries.get(key)
         version = self._mark(key)
-        self._entries[key] = Entry(key, version, bytes(value), lease)
+        created = version if before is None else before.created
+        self._entries[key] = Entry(key, version, bytes(value), lease, created)
         return version
 
+    def commit(
+        self,
+        writes: dict[str, tuple[bytes, str | None]],
+        deletes: list[str],
+        *,
+        now: float,
+    ) -> int:
+        """Writes and deletes keys, all of them or none.
+
+        Args:
+            writes: Value and lease of each key to write.
+            deletes: Keys to delete; those that do not exist are passed over.
+            now: The time now.
+
+        Returns:
+            The revision after it.
+
+        Raises:
+            ValueTooLargeError: A value is too large.
+            UnknownLeaseError: A lease does not exist or has lapsed.
+        """
+        self.expire(now=now)
+        for value, lease in writes.values():
+            if len(value) > MAX_VALUE_BYTES:
+                raise ValueTooLargeError(f"at most {MAX_VALUE_BYTES} bytes")
+            if lease is not None and lease not in self._leases:
+                raise UnknownLeaseError(lease)
+        for key, (value, lease) in writes.items():
+            before = self._entries.get(key)
+            version = 0 if before is None else before.version
+            self.put(key, value, if_version=version, lease=lease, now=now)
+        for key in deletes:
+            if key in self._entries:
+                self._remove(key)
+        return self.revision
+
     def delete(self, key: str, *, if_version: int, now: float) -> int:
         """Deletes a key if it has the version expected.
 
@@ -178,14 +217,17 @@
         """Returns a new lease that lapses after a time unless renewed."""
         self.expire(now=now)
         self._lease_count += 1
-        lease = f"lease-{self._lease_count}"
+        lease = f"{self._lease_count}"
         self._leases[lease] = _Lease(ttl_s, now + ttl_s)
         heapq.heappush(self._due, (now + ttl_s, lease))
         return lease
 
-    def renew(self, lease: str, *, now: float) -> None:
+    def renew(self, lease: str, *, now: float) -> float:
         """Lets a lease live for its whole time from now on.
 
+        Returns:
+            That time in seconds.
+
         Raises:
             UnknownLeaseError: The lease does not exist or has lapsed.
         """
@@ -194,6 +236,7 @@
             raise UnknownLeaseError(lease)
         held = self._leases[lease]
         held.expires = now + held.ttl_s
+        return held.ttl_s
 
     def revoke(self, lease: str, *, now: float) -> None:
         """Ends a lease and deletes its keys.
--- a/src/agateshelf_standins/system.py
+++ b/src/agateshelf_standins/system.py
@@ -3,6 +3,7 @@
 The demonstration, the tests on real processes and the live bench share it.
 """
 
+import base64
 import dataclasses
 import json
 import os
@@ -15,6 +16,7 @@
 import time
 from typing import Any
 import urllib.error
+import urllib.parse
 import urllib.request
 
 import zmq
@@ -24,6 +26,8 @@
 from agateshelf.documents import configuration
 
 START_SECONDS = 15.0
+# Tells the stand-in store that the platform itself writes.
+PLATFORM_HEADER = "Platform-Writer"
 STOP_SECONDS = 15.0
 _POLL_SECONDS = 0.02
 
@@ -230,11 +234,55 @@
     """
     parts = configuration.to_parts(document)
     for record in records.first_records(content.create_content(1, parts)):
-        path = f"/v1/kv/{record.key}"
-        headers = {"If-Version": "0"}
-        status, text = request(store, "PUT", path, record.value, headers)
-        if status != 200:
-            raise ValueError(text.decode())
+        write_key(store, record.key, record.value, 0)
+
+
+def read_key(store: str, key: str) -> tuple[bytes, int]:
+    """Return the value and the revision of a key.
+
+    Raises:
+        ValueError: The store has no such key, or refused.
+    """
+    query = urllib.parse.urlencode({"key": key})
+    status, text = request(store, "GET", f"/kv-key?{query}")
+    if status != 200:
+        raise ValueError(text.decode())
+    item = json.loads(text)
+    return base64.b64decode(item["value"]), item["revision"]
+
+
+def write_key(
+    store: str, key: str, value: bytes | None, revision: int | None = None
+) -> int:
+    """Write a key as the platform does; return the store's revision.
+
+    Args:
+        store: Address of the store.
+        key: The key.
+        value: Its value; None deletes it.
+        revision: Revision that it must have, 0 for none; None for any.
+
+    Raises:
+        ValueError: The store refused it.
+    """
+    change: dict[str, Any] = {"precondition": [], "writes": [], "deletes": []}
+    if revision is not None:
+        change["precondition"] = [{"key": key, "revision": revision}]
+    if value is None:
+        change["deletes"] = [key]
+    else:
+        encoded = base64.b64encode(value).decode()
+        change["writes"] = [{"key": key, "value": encoded, "lease": 0}]
+    status, text = request(
+        store,
+        "POST",
+        "/kv-txn",
+        json.dumps(change).encode(),
+        {PLATFORM_HEADER: "1"},
+    )
+    if status != 200:
+        raise ValueError(text.decode())
+    return int(json.loads(text)["revision"])
 
 
 def control(process: Process, **options: Any) -> None:
--- a/tests/core/routing/conftest.py
+++ b/tests/core/routing/conftest.py
@@ -9,6 +9,7 @@
 from agateshelf.core import reducer
 from agateshelf.core import state as core_state
 from agateshelf.core.configuration import models
+from agateshelf.core.routing import messages
 from bench import sizes
 
 DOMAINS = ("boston", "hartford")
@@ -40,6 +41,11 @@
         live = tuple(events.LiveEntry(n, DOMAINS[0]) for n in names)
         return self.post(0.0, events.EntriesSeen(live))
 
+    def hear_leaving(self, now, target):
+        """Be told by another entry that a target is leaving."""
+        news = messages.TargetTold("lookups", target, True, 0.0)
+        return self.post(now, events.PeerSpoke("e9", news))
+
     def arrive(self, now, method="GET", **changes):
         self.calls += 1
         request = events.RequestArrived(
