--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -129,12 +129,6 @@
     peer: str
 
 
-class ListInstances(msgspec.Struct, frozen=True):
-    """Read the platform's list of instances; one event follows."""
-
-    timeout: float
-
-
 class CheckConfiguration(msgspec.Struct, frozen=True):
     """Check a content; `ConfigurationRead` or `ConfigurationInvalid` follows.
 
@@ -235,6 +229,16 @@
     timeout: float
 
 
+class EndProbes(msgspec.Struct, frozen=True):
+    """Close what is kept open for the probes of these targets.
+
+    Attributes:
+        targets: Identifiers of the targets.
+    """
+
+    targets: tuple[str, ...]
+
+
 class Note(msgspec.Struct, frozen=True):
     """Log one decision, or one change of what is believed.
 
@@ -264,7 +268,6 @@
     | SendToPeers
     | KnowPeer
     | ForgetPeer
-    | ListInstances
     | CheckConfiguration
     | AnswerPatch
     | AnswerHistory
@@ -274,5 +277,6 @@
     | StopFeed
     | AdoptLimits
     | ProbeTarget
+    | EndProbes
     | Note
 )
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -3,9 +3,11 @@
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import state as core_state
+from agateshelf.core import timers
 from agateshelf.core.directory import handling as directory
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.feed import adoption
+from agateshelf.core.feed import checking
 from agateshelf.core.feed import const
 from agateshelf.core.feed import lapses
 from agateshelf.core.feed import models
@@ -20,6 +22,7 @@
     """Take the place of a reader that keeps silent."""
     feed = state.feed
     feed.reading = True
+    feed.deaf = False
     silent_for = round(now - feed.current_at, 3)
     done: Effects = [
         effects.Note(
@@ -44,7 +47,10 @@
         idle = topic_state.phase is models.Phase.IDLE
         if idle and now >= topic_state.retry_at:
             done.extend(read(state, topic, now, stale=False))
-    if relaying.watches_all(feed):
+    watched = relaying.watches_all(feed)
+    if watched:
+        done.extend(checking.check(state, now))
+    if watched and not feed.deaf:
         feed.current_at = now
         told = [
             *relaying.neighbours(state),
@@ -98,6 +104,8 @@
     state: core_state.State, now: float, event: events.FeedAnswered
 ) -> Effects:
     """Take an answer of the store in and ask on."""
+    if event.request == state.feed.check_request:
+        return checking.on_answer(state, event.answer)
     topic = state.feed.topic_of.pop(event.request, None)
     if topic is None:
         return []
@@ -113,11 +121,43 @@
         case models.Snapshot() | models.Changes():
             done = _on_answered(state, now, topic)
             done.extend(_adopt(state, now, topic, answer))
-            if state.feed.reading and not state.stopping:
-                done.extend(_watch(state, topic))
+            done.extend(_watch_on(state, now, topic, answer))
             return done
 
 
+def _watch_on(
+    state: core_state.State,
+    now: float,
+    topic: models.Topic,
+    answer: models.Snapshot | models.Changes,
+) -> Effects:
+    """Watch a topic again; after changes, when more of them had time to come.
+
+    Answers bursts of changes, as when many targets start: without the pause
+    each of them would cost every reader a call.
+    """
+    if not state.feed.reading or state.stopping:
+        return []
+    told = isinstance(answer, models.Changes)
+    if not told or not (answer.targets or answer.table):
+        return _watch(state, topic)
+    topic_state = state.feed.topics[topic]
+    topic_state.phase = models.Phase.WATCHING
+    over = models.RestOver(topic, topic_state.request)
+    timers.schedule(state.timers, now + const.REST_SECONDS, over)
+    return []
+
+
+def on_rest_over(state: core_state.State, event: models.RestOver) -> Effects:
+    """Watch a topic again, unless its reading has ended meanwhile."""
+    topic_state = state.feed.topics[event.topic]
+    if state.stopping or topic_state.phase is not models.Phase.WATCHING:
+        return []
+    if topic_state.request != event.request:
+        return []
+    return _watch(state, event.topic)
+
+
 def _on_unavailable(
     state: core_state.State,
     now: float,
@@ -150,6 +190,7 @@
 ) -> Effects:
     feed = state.feed
     feed.topics[topic].failures = 0
+    feed.deaf = False
     if feed.reachable:
         return []
     feed.reachable = True
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -31,14 +31,14 @@
 from agateshelf.daemon.callers import memory
 from agateshelf.daemon.callers import server as callers
 from agateshelf.daemon.peers import transport
-from agateshelf.daemon.platform import instances
-from agateshelf.daemon.platform import store
-from agateshelf.daemon.targets import client
+from agateshelf.daemon.targets import client as target_client
 from agateshelf.daemon.targets import pool
 from agateshelf.daemon.targets import probing
 from agateshelf.documents import settings
+from agateshelf.platform import client
 from agateshelf.platform import dialect
 from agateshelf.platform import feed
+from agateshelf.platform import store
 
 if TYPE_CHECKING:
     from agateshelf.daemon import tracing
@@ -50,6 +50,8 @@
 _UNREADY_SHARE = 0.5
 _STOP_SHARE = 0.88
 _LAST_WORDS_SHARE = 0.05
+# A message between entries has some 250 bytes and takes a core about 0.2 ms.
+_LINK_MEGABITS_PER_CORE = 10.0
 _COLLECTION_THRESHOLDS = (20_000, 20, 20)
 
 _log = logbook.Logger("daemon")
@@ -100,12 +102,14 @@
     cfg: settings.Settings, seed: int, held: memory.Budget
 ) -> daemon_driver.Driver:
     """Create the driver of an entry from its settings."""
-    identity = core_state.Identity(_identifier_of(cfg), cfg.failure_domain)
+    identity = core_state.Identity(
+        _identifier_of(cfg), cfg.failure_domain, _capacity_of(cfg.capacity)
+    )
     counted = metrics.create_metrics(cfg.statsd)
     driver = daemon_driver.Driver(
         state=core_state.create_state(identity, seed),
         exchanges=exchanges.Exchanges(),
-        targets=client.TargetClient(
+        targets=target_client.TargetClient(
             connections=pool.Pool(cfg.limits.kept_target_connections),
             held_bytes=cfg.limits.held_answer_bytes,
             via=cfg.entry.encode(),
@@ -113,8 +117,6 @@
         ),
         metrics=counted,
         traces=_create_traces(cfg, counted),
-        store=None,
-        instances=None,
     )
     if cfg.routes is None:
         _use_services(driver, cfg)
@@ -133,6 +135,12 @@
     return f"{cfg.peers.listen.host}:{cfg.peers.listen.port}"
 
 
+def _capacity_of(capacity: settings.Capacity) -> float:
+    """Return how much this entry bears, bounded by its core and its link."""
+    core = capacity.core_share * capacity.core_speed
+    return min(core, capacity.link_megabits / _LINK_MEGABITS_PER_CORE)
+
+
 def _create_traces(
     cfg: settings.Settings, counted: metrics.Metrics
 ) -> "tracing.Traces | None":
@@ -147,9 +155,7 @@
 
 def _use_services(driver: daemon_driver.Driver, cfg: settings.Settings) -> None:
     """Serve the services of a configuration that operators patch."""
-    driver.store = store.StoreClient(cfg.platform.store)
-    if cfg.platform.instances is not None:
-        driver.instances = instances.InstancesClient(cfg.platform.instances)
+    driver.store = store.StoreClient(client.Client(cfg.platform.store))
 
 
 def _use_routes(
@@ -159,7 +165,7 @@
 ) -> None:
     """Serve the routes that the platform's store holds."""
     driver.targets.dialect = dialect.DIALECT
-    driver.feed = feed.Feed(cfg.platform.store)
+    driver.feed = feed.Feed(client.Client(cfg.platform.store))
     driver.prober = probing.Prober(dialect.DIALECT)
     driver.state.dispatch.bounds = reloading.bounds_of(bounds)
 
