Soak real processes under faults drawn from seeds

The store, members that register themselves and entries run as processes of their own; links to the store, between entries and to targets are proxies on loopback. Seeds draw stops, kills, pauses, SIGHUPs, drains, restarts under the same name, lying and slow targets, a store that is down, silent, slow or stale, lapsing registrations, broken links, new routes and bursts, overlapping. Thirteen promises are checked on what callers and targets saw. The clocks of processes are not moved.

The older soak.py, which runs the state machine of bookings in virtual time, is soak_bookings.py now.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo test lint format bench bench-live soak slopes setup
+.PHONY: demo test lint format bench bench-live soak soak-bookings slopes setup
 
 setup: $(READY)
 
@@ -26,7 +26,7 @@
 lint: setup
 	$(BIN)/ruff format --check --no-cache .
 	$(BIN)/ruff check --no-cache .
-	$(BIN)/mypy --cache-dir=/dev/null src bench script
+	$(BIN)/mypy --cache-dir=/dev/null src bench script soak
 	$(BIN)/python script/check_imports.py
 	$(BIN)/python script/check_proofs.py
 
@@ -40,8 +40,14 @@
 bench-live: setup
 	$(BIN)/python -m bench.live
 
+# Real processes under faults; SOAK takes seeds and options (docs/SOAK.md).
+SOAK ?= --fresh 4
 soak: setup
-	$(BIN)/python script/soak.py
+	$(BIN)/python -m soak.main $(SOAK)
+
+# The state machine of bookings alone, in virtual time, for long.
+soak-bookings: setup
+	$(BIN)/python script/soak_bookings.py
 
 slopes: setup
 	$(BIN)/python -m bench.slopes
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults."""
--- /dev/null
+++ b/soak/scene.py
@@ -0,0 +1,263 @@
+"""The processes of a soak, and what is done to them."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+import curio
+
+from agateshelf_standins import member
+from agateshelf_standins import system
+from soak import callers
+from soak import faults
+from soak import links
+from soak import records
+
+DOMAINS = ("boston", "hartford")
+GRACE_SECONDS = 4.0
+DRAIN_MS = 3500.0
+_READY_SECONDS = 15.0
+
+
+@dataclasses.dataclass(eq=False)
+class Entry:
+    """An entry with its links.
+
+    Attributes:
+        number: Its number.
+        settings: Its settings.
+        front: Where callers reach it.
+        store: Its link to the store.
+        peers: The link by which the other entries reach it.
+        popen: Its process.
+        down: Whether it is down or on its way there.
+    """
+
+    number: int
+    settings: dict[str, Any]
+    front: str
+    store: links.Link
+    peers: links.Link
+    popen: subprocess.Popen[bytes] | None = None
+    down: bool = False
+
+    @property
+    def process_id(self) -> int:
+        """Identifier of its process."""
+        return 0 if self.popen is None else self.popen.pid
+
+
+@dataclasses.dataclass(eq=False)
+class Member:
+    """A target with the link in front of it."""
+
+    number: int
+    name: str
+    link: links.Link
+    process: system.Process | None = None
+    down: bool = False
+
+
+@dataclasses.dataclass(eq=False)
+class Scene:
+    """All processes of a soak.
+
+    Attributes:
+        directory: Where settings, logs and the ledger are.
+        source: Tree whose product is run.
+        record: What is seen.
+        running: The stand-ins.
+        store: The store.
+        entries: The entries.
+        members: The targets.
+        faster: Factor on the callers' pauses.
+    """
+
+    directory: pathlib.Path
+    source: pathlib.Path
+    record: records.Record
+    running: system.System
+    store: system.Process
+    entries: list[Entry] = dataclasses.field(default_factory=list)
+    members: list[Member] = dataclasses.field(default_factory=list)
+    faster: float = 1.0
+
+    @property
+    def ledger(self) -> pathlib.Path:
+        """File of the targets' ledger."""
+        return self.directory / "ledger.jsonl"
+
+    def write_table(self) -> None:
+        """Write the next version of the routes."""
+        version = max(self.record.tables, default=0) + 1
+        table = _table(version)
+        member.write_table(self.store.address, table)
+        self.record.tables[version] = time.time()
+
+    def disturb(self, what: str, index: int, begin: float) -> None:
+        """Note a disturbance that is over now."""
+        end = time.time()
+        self.record.disturbances.append(
+            records.Disturbance(what, index, begin, end)
+        )
+
+    def start_member(self, one: Member) -> None:
+        """Start a target."""
+        one.process = self.running.start_stand_in(
+            "member",
+            *("--id", one.name, "--store", self.store.address),
+            *("--service", "status" if one.number % 2 == 0 else "bookings"),
+            *("--domain", DOMAINS[one.number // 2 % len(DOMAINS)]),
+            *("--advertised", one.link.address, "--ledger", str(self.ledger)),
+            *("--slots", "4", "--drain-ms", str(DRAIN_MS)),
+        )
+        one.link.upstream = one.process.address
+        one.down = False
+
+    def start_entry(self, one: Entry) -> None:
+        """Start an entry's process; it is not awaited."""
+        path = self.directory / f"entry-{one.number}.json"
+        path.write_text(json.dumps(one.settings))
+        log = (self.directory / f"entry-{one.number}.log").open("ab")
+        command = [sys.executable, "-m", "agateshelf.daemon.main"]
+        environment = {**os.environ, "PYTHONPATH": str(self.source)}
+        with log:
+            one.popen = subprocess.Popen(
+                [*command, "--settings", str(path)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+            )
+        one.down = False
+
+    def stop(self) -> None:
+        """End all processes that the soak started."""
+        for one in self.entries:
+            if one.popen is not None and one.popen.poll() is None:
+                one.popen.send_signal(signal.SIGCONT)
+                one.popen.kill()
+                one.popen.wait()
+        for process in self.running.processes:
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+            process.popen.wait()
+
+
+def _table(version: int) -> dict[str, Any]:
+    def route(name: str, prefix: str, service: str, **more: Any) -> Any:
+        values = {
+            "name": name,
+            "host": callers.HOST,
+            "prefix": prefix,
+            "kind": "safe",
+            "timeout": callers.LOOKUP_SECONDS * 1000,
+            "target_latency": 300,
+            "max_attempts": 2,
+            "priority": 2,
+            "service": service,
+        }
+        return {**values, **more}
+
+    booking = {"kind": "unsafe", "timeout": callers.BOOKING_SECONDS * 1000}
+    markers = [
+        route(f"m{n}", f"/m{n}/", "status") for n in range(1, version + 1)
+    ]
+    return {
+        "version": version,
+        "routes": [
+            route("lookups", "/vin/", "status"),
+            route("bookings", "/book/", "bookings", **booking, priority=1),
+            *markers,
+        ],
+        "services": [
+            {"name": name, "health_path": "/health"}
+            for name in ("status", "bookings")
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout": 3000,
+            "idle_timeout": 15000,
+        },
+    }
+
+
+async def create_scene(
+    plan: faults.Plan, directory: pathlib.Path, source: pathlib.Path
+) -> Scene:
+    """Start everything and wait until all entries are ready."""
+    running = system.System(directory)
+    store = running.start_stand_in("store", "--port", "0")
+    scene = Scene(directory, source, records.Record(), running, store)
+    scene.ledger.touch()
+    scene.write_table()
+    for number in range(plan.targets):
+        link = links.Link()
+        await link.start()
+        one = Member(number, f"t{number}", link)
+        scene.members.append(one)
+        await curio.run_in_thread(scene.start_member, one)
+    ports = [system.free_port() for _ in range(plan.entries)]
+    for number, port in enumerate(ports):
+        seeds = [f"127.0.0.1:{other}" for other in ports if other != port]
+        scene.entries.append(await _create_entry(scene, number, port, seeds))
+    for entry in scene.entries:
+        scene.start_entry(entry)
+    for entry in scene.entries:
+        await _await_ready(entry)
+    return scene
+
+
+async def _create_entry(
+    scene: Scene, number: int, port: int, seeds: list[str]
+) -> Entry:
+    store = links.Link(scene.store.address)
+    peers = links.Link(f"127.0.0.1:{port}")
+    await store.start()
+    await peers.start()
+    front = f"127.0.0.1:{system.free_port()}"
+    settings = {
+        "entry": f"entry-{number}",
+        "failure_domain": DOMAINS[number % len(DOMAINS)],
+        "callers": {"address": front},
+        "readiness": {"address": f"127.0.0.1:{system.free_port()}"},
+        "metrics": {"address": f"127.0.0.1:{system.free_port()}"},
+        "platform": {"store": store.address},
+        "peers": {
+            "listen": {"address": f"127.0.0.1:{port}"},
+            "advertised": peers.address,
+            "seeds": seeds,
+        },
+        "routes": {
+            "repeat_share": 0.2,
+            "repeat_slack": 20,
+            "repeat_seconds": 10,
+            "probes_per_second": 40,
+            "grace_seconds": GRACE_SECONDS,
+        },
+        "logs": {"json_lines": True},
+    }
+    return Entry(number, settings, front, store, peers)
+
+
+async def _await_ready(entry: Entry) -> None:
+    end = time.monotonic() + _READY_SECONDS
+    ready = entry.settings["readiness"]["address"]
+    while time.monotonic() < end:
+        try:
+            status, _ = await curio.run_in_thread(
+                system.request, ready, "GET", "/ready"
+            )
+        except OSError:
+            status = 0
+        if status == 200:
+            return
+        await curio.sleep(0.05)
+    raise system.StartError(f"entry {entry.number} is not ready")
--- a/src/agateshelf_standins/http.py
+++ b/src/agateshelf_standins/http.py
@@ -231,11 +231,13 @@
     Attributes:
         connections: Those open now.
         leaving: Whether each answer asks its caller to close.
+        address: Where it listens.
     """
 
     def __init__(self, handler: Handler) -> None:
         self.connections: set[Connection] = set()
         self.leaving = False
+        self.address = ""
         self._handler = handler
         self._accepting: Any = None
         self._terminated = False
@@ -245,7 +247,8 @@
         signal.signal(signal.SIGTERM, self._on_terminate)
         listener = curio.network.tcp_server_socket(host, port, backlog=1024)
         self._accepting = await curio.spawn(self._accept, listener, daemon=True)
-        print(f"listening on {host}:{listener.getsockname()[1]}", flush=True)
+        self.address = f"{host}:{listener.getsockname()[1]}"
+        print(f"listening on {self.address}", flush=True)
 
     async def until_terminated(self) -> None:
         """Waits for SIGTERM."""
