Load no part for services in an entry that follows routes

The reducer hands what is not common to all entries to routed.py or served.py, in place of guards on which kind of entry it is; served.py, the state of its parts and its messages are loaded by the first entry that serves services. Memory of lost connections (poison/cuts.py) and the live entries' failure domains are common. Found by a test on the way: crashes were told to the entries that claims know of.

--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -149,7 +149,7 @@
             self._redraw(now)
             self._work(now)
             while arrivals and arrivals[0][0] <= now:
-                self._arrive(now, arrivals.pop(0)[1])
+                self.arrive(now, arrivals.pop(0)[1])
             if step % int(PROBE_SECONDS / STEP_SECONDS) == 0:
                 self._probe(now)
             self._decide(now)
@@ -217,7 +217,8 @@
             self.machines[turn.target or ""].left.pop(key, None)
             scheduling.release(self.desk, turn)
 
-    def _arrive(self, now: float, kind: Kind) -> None:
+    def arrive(self, now: float, kind: Kind) -> None:
+        """Have a request of a kind wait at the desk."""
         self.number += 1
         key = ("entry", self.number)
         self.kind_of[key] = kind
--- a/src/agateshelf/core/configuration/handling.py
+++ b/src/agateshelf/core/configuration/handling.py
@@ -12,6 +12,7 @@
 from agateshelf.core.configuration import patching
 from agateshelf.core.configuration import spreading
 from agateshelf.core.configuration import surveying
+from agateshelf.core.membership import models as membership_models
 from agateshelf.core.peers import models as peer_models
 
 _LOOKUP_STEPS = (patch_models.Step.LOOK_UP, patch_models.Step.SCAN_HISTORY)
@@ -146,3 +147,14 @@
             return surveying.on_told(state, peer, message)
         case _:
             return None
+
+
+def forget_entries(state: core_state.State) -> None:
+    """Forget what was heard from entries that are gone."""
+    gone = [
+        entry
+        for entry, member in state.membership.members.items()
+        if member.status is membership_models.Status.GONE
+    ]
+    for entry in gone:
+        state.configuration.heard.pop(entry, None)
--- a/src/agateshelf/core/dispatch/desks.py
+++ b/src/agateshelf/core/dispatch/desks.py
@@ -80,7 +80,7 @@
 
 def on_entries(state: core_state.State, now: float) -> Effects:
     """Follow the live entries; the turns of those that are gone end."""
-    entries = state.routing.entries
+    entries = state.membership.domains
     done: Effects = []
     for desk in state.dispatch.desks.values():
         for key in [k for k in desk.waiting if k[0] not in entries]:
@@ -187,7 +187,7 @@
     bounds = state.dispatch.bounds
     slack = repeats.slack_of_home(bounds)
     if not homes.is_home(state, desk.service):
-        entries = len(state.routing.entries)
+        entries = len(state.membership.domains)
         slack = repeats.slack_of_stranger(bounds, entries)
     if not repeats.may_repeat(desk.repeats, bounds, now, share * slack):
         return False
@@ -204,7 +204,7 @@
 ) -> models.Turn:
     if not asked.tried:
         repeats.note_request(desk.repeats, state.dispatch.bounds, now)
-    domain = state.routing.entries.get(key[0], state.identity.failure_domain)
+    domain = state.membership.domains.get(key[0], state.identity.failure_domain)
     return models.Turn(
         key=key,
         route=asked.route,
--- a/src/agateshelf/core/dispatch/homes.py
+++ b/src/agateshelf/core/dispatch/homes.py
@@ -38,7 +38,7 @@
     if known is None:
         entries = tuple(
             entry
-            for entry, domain in state.routing.entries.items()
+            for entry, domain in state.membership.domains.items()
             if domain == failure_domain
         )
         known = _rank(state, f"samples/{job}", entries)
--- a/src/agateshelf/core/dispatch/scheduling.py
+++ b/src/agateshelf/core/dispatch/scheduling.py
@@ -65,12 +65,49 @@
     cost: float
 
 
+@dataclasses.dataclass(slots=True)
+class Room:
+    """What is free at the usable targets.
+
+    Answers a queue that grows in a burst: to look at all targets for each
+    request that waits would cost most when there is least to give.
+
+    Attributes:
+        targets: Targets with a free slot.
+        slots: Slots of all usable targets.
+        free: Slots of them that are free.
+    """
+
+    targets: list[models.TargetState]
+    slots: int
+    free: int
+
+
+def _room_of(usable: abc.Sequence[models.TargetState]) -> Room:
+    room = Room([], 0, 0)
+    for target in usable:
+        slots = target.registration.slots
+        left = slots - target.held
+        room.slots += slots
+        if left > 0:
+            room.free += left
+            room.targets.append(target)
+    return room
+
+
+def _take(room: Room, target: models.TargetState) -> None:
+    room.free -= 1
+    if target.held >= target.registration.slots:
+        room.targets.remove(target)
+
+
 def decide(desk: models.Desk, now: float, rng: random.Random) -> list[Decision]:
     """Decide on all waiting turns and carry it out at the desk."""
     _forget_overdue(desk, now)
     if not desk.waiting:
         return []
     usable = usable_targets(desk, now)
+    room = _room_of(usable)
     done: list[Decision] = []
     late: list[models.Turn] = []
     for turn in _in_order(desk, now):
@@ -78,9 +115,10 @@
         if refusal is not None:
             done.append(_refuse(desk, turn, refusal, usable, rng))
             continue
-        target = _pick(desk, usable, turn, now, rng)
+        target = _pick(desk, room, turn, now, rng)
         if target is not None:
             done.append(grant(desk, turn, target, now))
+            _take(room, target)
         elif is_late(turn, now):
             late.append(turn)
     done.extend(_shorten(desk, usable, late, rng))
@@ -141,7 +179,7 @@
 
 def _pick(
     desk: models.Desk,
-    usable: abc.Sequence[models.TargetState],
+    room: Room,
     turn: models.Turn,
     now: float,
     rng: random.Random,
@@ -153,11 +191,12 @@
     """
     late = is_late(turn, now)
     end = turn.give_up_at if late else turn.aim_at
-    if late and not _has_spare(usable):
-        usable = [t for t in usable if _is_left_over(t)]
+    targets = room.targets
+    if late and room.free <= const.SPARE_SHARE * room.slots:
+        targets = [t for t in targets if _is_left_over(t)]
     offers = [
         _offer(desk, target, turn, now)
-        for target in usable
+        for target in targets
         if _is_free(target, turn)
     ]
     in_time = [o for o in offers if now + o.seconds * const.SPREAD <= end]
@@ -178,15 +217,6 @@
     return target.speed < const.SLOW_SPEED and not crowded
 
 
-def _has_spare(usable: abc.Sequence[models.TargetState]) -> bool:
-    """Return whether late turns may take targets that others could use."""
-    slots = sum(target.registration.slots for target in usable)
-    free = sum(
-        max(0, target.registration.slots - target.held) for target in usable
-    )
-    return free > const.SPARE_SHARE * slots
-
-
 def _offer(
     desk: models.Desk,
     target: models.TargetState,
--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -1,15 +1,20 @@
 """Effects: all that an entry may be told to do, as data."""
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from agateshelf.core import storage
-from agateshelf.core.configuration import content
-from agateshelf.core.configuration import results
 from agateshelf.core.feed import models as feed_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
 from agateshelf.core.routes import models as route_models
 
+# An entry that follows routes never loads what only services need.
+if TYPE_CHECKING:
+    from agateshelf.core.configuration import content
+    from agateshelf.core.configuration import results
+
 
 class StartAttempt(msgspec.Struct, frozen=True):
     """Send a call's request to a target.
@@ -138,21 +143,21 @@
     """
 
     version: int
-    parts: tuple[content.Part, ...]
+    parts: "tuple[content.Part, ...]"
 
 
 class AnswerPatch(msgspec.Struct, frozen=True):
     """Tell an operator what became of a patch."""
 
     operation: int
-    result: results.PatchResult
+    result: "results.PatchResult"
 
 
 class AnswerHistory(msgspec.Struct, frozen=True):
     """Tell an operator the latest changes; None if the store is away."""
 
     operation: int
-    records: tuple[results.HistoryRecord, ...] | None
+    records: "tuple[results.HistoryRecord, ...] | None"
 
 
 class AnswerSurvey(msgspec.Struct, frozen=True):
@@ -165,7 +170,7 @@
     """
 
     operation: int
-    heard: tuple[results.EntryVersion, ...]
+    heard: "tuple[results.EntryVersion, ...]"
     silent: tuple[str, ...]
 
 
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -4,18 +4,23 @@
 seconds, beside each.
 """
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from agateshelf.core import storage
-from agateshelf.core.claims import models as claim_models
-from agateshelf.core.configuration import content
-from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.dispatch import models as dispatch_models
 from agateshelf.core.feed import models as feed_models
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
-from agateshelf.core.routing import models as routing_models
+
+# An entry that follows routes never loads what only services need.
+if TYPE_CHECKING:
+    from agateshelf.core.claims import models as claim_models
+    from agateshelf.core.configuration import content
+    from agateshelf.core.configuration import models as configuration_models
+    from agateshelf.core.routing import models as routing_models
 
 
 class RequestArrived(msgspec.Struct, frozen=True):
@@ -128,7 +133,7 @@
 class ConfigurationRead(msgspec.Struct, frozen=True):
     """A whole, checked configuration version arrived."""
 
-    configuration: configuration_models.Configuration
+    configuration: "configuration_models.Configuration"
 
 
 class StopRequested(msgspec.Struct, frozen=True):
@@ -183,7 +188,7 @@
         peer: The entry that appends; None for this one.
     """
 
-    decision: claim_models.Decision
+    decision: "claim_models.Decision"
     peer: str | None = None
 
 
@@ -333,7 +338,7 @@
     operation: int
     patch_id: str
     base_version: int
-    parts: tuple[content.Part, ...] | None
+    parts: "tuple[content.Part, ...] | None"
     author: str
     reason: str
     at: float
@@ -464,7 +469,7 @@
     """
 
     placement: int
-    ending: routing_models.Ending
+    ending: "routing_models.Ending"
     draining: bool
 
 
@@ -488,7 +493,7 @@
     asked: int = 0
 
 
-Event = (
+_LoadedEvent = (
     RequestArrived
     | CallerLeft
     | AttemptAnswered
@@ -525,7 +530,6 @@
     | HistoryRequested
     | SurveyRequested
     | membership_models.MembershipTimer
-    | configuration_models.ConfigurationTimer
     | TargetChosen
     | PlacementEnded
     | AskOverdue
@@ -541,3 +545,7 @@
     | feed_models.RestOver
     | dispatch_models.DispatchTimer
 )
+if TYPE_CHECKING:
+    Event = _LoadedEvent | configuration_models.ConfigurationTimer
+else:
+    Event = _LoadedEvent
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -21,13 +21,13 @@
     me = state.identity
     return [
         entry
-        for entry, domain in state.routing.entries.items()
+        for entry, domain in state.membership.domains.items()
         if domain == me.failure_domain and entry != me.entry
     ]
 
 
 def _is_neighbour(state: core_state.State, peer: str) -> bool:
-    domain = state.routing.entries.get(peer)
+    domain = state.membership.domains.get(peer)
     return domain == state.identity.failure_domain
 
 
@@ -38,7 +38,7 @@
     beats of the other domains' readers show that it is not.
     """
     domains: dict[str, list[str]] = {}
-    for entry, domain in state.routing.entries.items():
+    for entry, domain in state.membership.domains.items():
         if domain != state.identity.failure_domain:
             domains.setdefault(domain, []).append(entry)
     return [
@@ -72,7 +72,7 @@
     me = state.identity
     others = sorted(
         entry
-        for entry, domain in state.routing.entries.items()
+        for entry, domain in state.membership.domains.items()
         if domain != me.failure_domain
     )
     if not others:
--- a/src/agateshelf/core/forwarding/crashes.py
+++ b/src/agateshelf/core/forwarding/crashes.py
@@ -15,7 +15,7 @@
 from agateshelf.core.forwarding import models
 from agateshelf.core.forwarding import refusals
 from agateshelf.core.outcomes import models as outcome_models
-from agateshelf.core.poison import evidence
+from agateshelf.core.poison import cuts
 from agateshelf.core.poison import models as poison_models
 from agateshelf.core.poison import suspects
 
@@ -64,7 +64,7 @@
     if registration is None:
         return []
     crash = f"{state.identity.entry}-{attempt.target}-{attempt.number}"
-    evidence.keep_cut(
+    cuts.keep(
         state,
         poison_models.Cut(attempt.target, call.fingerprint, crash, now),
     )
@@ -77,5 +77,5 @@
     """Clear a request that a target lived to answer."""
     if not state.poison.suspects and not state.poison.cuts:
         return []
-    evidence.drop_cuts(state, call.fingerprint)
+    cuts.drop_of(state, call.fingerprint)
     return suspects.clear(state, now, call.fingerprint)
--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -4,7 +4,6 @@
 from agateshelf.core import events
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
-from agateshelf.core.claims import ends as claim_ends
 from agateshelf.core.dispatch import asking
 from agateshelf.core.dispatch import homes
 from agateshelf.core.dispatch import messages as dispatch_messages
@@ -126,9 +125,9 @@
         if is_second:
             return done
         return [*done, *asking.ask(state, now, call)]
-    state.calls.last_attempt += 1
+    state.forwarding.last_attempt += 1
     attempt = models.Attempt(
-        number=state.calls.last_attempt,
+        number=state.forwarding.last_attempt,
         call=call.number,
         target=event.target,
         started=now,
@@ -273,8 +272,6 @@
     """Return the exit once a stopping entry owes nothing to anyone."""
     if not state.stopping or state.forwarding.calls:
         return []
-    if not claim_ends.is_settled(state):
-        return []
     return [effects.Exit()]
 
 
--- a/src/agateshelf/core/forwarding/models.py
+++ b/src/agateshelf/core/forwarding/models.py
@@ -78,8 +78,10 @@
         calls: Calls without their final word, by number.
         attempts: Attempts in flight, by number.
         streaming: Attempts whose answer is on its way to the caller.
+        last_attempt: Number of the latest attempt.
     """
 
     calls: dict[int, Call] = dataclasses.field(default_factory=dict)
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
     streaming: set[int] = dataclasses.field(default_factory=set)
+    last_attempt: int = 0
--- a/src/agateshelf/core/membership/beliefs.py
+++ b/src/agateshelf/core/membership/beliefs.py
@@ -87,7 +87,6 @@
             at = now + const.REMEMBER_GONE_SECONDS
             forget = models.ForgetDue(record.entry, record.incarnation)
             timers.schedule(state.timers, at, forget)
-            state.configuration.heard.pop(record.entry, None)
             return [effects.ForgetPeer(record.entry)]
         case _:
             pass
--- a/src/agateshelf/core/membership/models.py
+++ b/src/agateshelf/core/membership/models.py
@@ -96,6 +96,7 @@
         me: This entry's own record, raised to refute wrong beliefs.
         members: The other entries by identifier, gone ones included.
         live: Live entries in order, with oneself; None to compute anew.
+        domains: Failure domain of each live entry.
         neighbours: Entries that get heartbeats; None to compute anew.
         probe_order: Neighbours still to be probed in this turn.
         updates: Times that each record is still to be passed on, by entry.
@@ -116,6 +117,7 @@
     me: Member | None = None
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     live: tuple[str, ...] | None = None
+    domains: dict[str, str] = dataclasses.field(default_factory=dict)
     neighbours: tuple[str, ...] | None = None
     probe_order: list[str] = dataclasses.field(default_factory=list)
     updates: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/src/agateshelf/core/membership/probing.py
+++ b/src/agateshelf/core/membership/probing.py
@@ -71,7 +71,7 @@
     timers.schedule(state.timers, now + const.DETOUR_AFTER_SECONDS, detour)
     message = messages.Ping(
         number,
-        state.cfg.version,
+        state.version,
         membership.me,
         beliefs.take_updates(state, entry),
     )
@@ -159,7 +159,7 @@
     done = _hear(state, now, peer, message)
     answer = messages.Ack(
         message.number,
-        state.cfg.version,
+        state.version,
         membership.me,
         beliefs.take_updates(state, peer),
     )
--- a/src/agateshelf/core/outcomes/rules.py
+++ b/src/agateshelf/core/outcomes/rules.py
@@ -1,10 +1,13 @@
 """The one table of what an attempt's end says about its request."""
 
+from typing import TYPE_CHECKING
 from typing import Final
 
-from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.outcomes import models
 
+if TYPE_CHECKING:
+    from agateshelf.core.configuration import models as configuration_models
+
 _FIRST_SERVER_ERROR = 500
 
 _UNSENT = models.Verdict.DID_NOT_RUN
@@ -34,7 +37,7 @@
 
 
 def verdict_of_answer(
-    service: configuration_models.Service,
+    service: "configuration_models.Service",
     status: int,
     headers: tuple[tuple[str, str], ...],
 ) -> models.Verdict:
@@ -59,7 +62,7 @@
 
 
 def is_refusal(
-    service: configuration_models.Service,
+    service: "configuration_models.Service",
     headers: tuple[tuple[str, str], ...],
 ) -> bool:
     """Return whether an answer carries one of the service's refusal marks."""
--- a/src/agateshelf/core/poison/evidence.py
+++ b/src/agateshelf/core/poison/evidence.py
@@ -6,7 +6,6 @@
 cleared, so that bystanders of a crash are not suspected for long.
 """
 
-from collections import abc
 import hashlib
 
 from agateshelf.core import effects
@@ -16,7 +15,7 @@
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
 from agateshelf.core.poison import const
-from agateshelf.core.poison import messages
+from agateshelf.core.poison import cuts
 from agateshelf.core.poison import models
 from agateshelf.core.poison import suspects
 from agateshelf.core.routing import groups
@@ -81,7 +80,7 @@
 ) -> list[effects.Effect]:
     """Learn from an attempt that brought no whole answer."""
     if event.kind is outcome_models.FailureKind.CONNECT:
-        return _confirm(state, now, attempt.target, const.CONFIRM_SECONDS)
+        return cuts.confirm(state, now, attempt.target, const.CONFIRM_SECONDS)
     if event.kind not in _CUT_KINDS or not event.any_byte_sent:
         return []
     call.cuts += 1
@@ -93,24 +92,17 @@
         now,
     )
     if not event.kept_connection:
-        return _count(state, now, cut)
-    together = _confirm(state, now, attempt.target, const.TOGETHER_SECONDS)
+        return cuts.count(state, now, cut)
+    together = cuts.confirm(state, now, attempt.target, const.TOGETHER_SECONDS)
     if together:
-        return [*together, *_count(state, now, cut)]
-    keep_cut(state, cut)
+        return [*together, *cuts.count(state, now, cut)]
+    cuts.keep(state, cut)
     view = groups.view_of(state.routing, call.service.name, attempt.target)
     if view is None:
         return []
     return [effects.CheckTarget(attempt.target, view.target.address)]
 
 
-def on_refused(
-    state: core_state.State, now: float, event: events.TargetRefused
-) -> list[effects.Effect]:
-    """Take a target that refuses connections for crashed."""
-    return _confirm(state, now, event.target, const.CONFIRM_SECONDS)
-
-
 def on_answer(
     state: core_state.State,
     now: float,
@@ -125,54 +117,5 @@
     if rules.is_refusal(call.service, event.headers):
         return []
     fingerprint = fingerprint_of(call)
-    drop_cuts(state, fingerprint)
+    cuts.drop_of(state, fingerprint)
     return suspects.clear(state, now, fingerprint)
-
-
-def keep_cut(state: core_state.State, cut: models.Cut) -> None:
-    """Remember a lost connection until its target's fate is known."""
-    state.poison.cuts.append(cut)
-    if len(state.poison.cuts) > const.MAX_CUTS:
-        state.poison.cuts.popleft()
-
-
-def drop_cuts(state: core_state.State, fingerprint: bytes) -> None:
-    """Forget the lost connections of a request that was answered."""
-    _drop(state.poison, lambda cut: cut.fingerprint == fingerprint)
-
-
-def _confirm(
-    state: core_state.State, now: float, target: str, within: float
-) -> list[effects.Effect]:
-    oldest = now - const.CONFIRM_SECONDS
-    _drop(state.poison, lambda cut: cut.at < oldest)
-    done: list[effects.Effect] = []
-    for cut in _drop(
-        state.poison,
-        lambda cut: cut.target == target and now - cut.at <= within,
-    ):
-        done.extend(_count(state, now, cut))
-    return done
-
-
-def _drop(
-    poison: models.PoisonState, matches: abc.Callable[[models.Cut], bool]
-) -> list[models.Cut]:
-    if not poison.cuts:
-        return []
-    found = [cut for cut in poison.cuts if matches(cut)]
-    if found:
-        kept = [cut for cut in poison.cuts if not matches(cut)]
-        poison.cuts.clear()
-        poison.cuts.extend(kept)
-    return found
-
-
-def _count(
-    state: core_state.State, now: float, cut: models.Cut
-) -> list[effects.Effect]:
-    suspects.add(state, now, cut.fingerprint, cut.crash)
-    message = messages.CrashSeen(cut.fingerprint, cut.crash)
-    done: list[effects.Effect] = [effects.Count("poison.crashes")]
-    done.extend(suspects.tell(state, now, message))
-    return done
--- a/src/agateshelf/core/poison/suspects.py
+++ b/src/agateshelf/core/poison/suspects.py
@@ -68,7 +68,9 @@
 ) -> list[effects.Effect]:
     """Tell the other entries, as far as the bound on messages allows."""
     peers = tuple(
-        entry for entry in state.claims.entries if entry != state.identity.entry
+        entry
+        for entry in state.membership.domains
+        if entry != state.identity.entry
     )
     if not peers or not _take_token(state.poison, now):
         return []
--- /dev/null
+++ b/src/agateshelf/core/routed.py
@@ -0,0 +1,127 @@
+"""What an entry that follows routes does about events."""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core.dispatch import asking
+from agateshelf.core.dispatch import desks
+from agateshelf.core.dispatch import models as dispatch_models
+from agateshelf.core.dispatch import samplers
+from agateshelf.core.dispatch import sampling
+from agateshelf.core.feed import handling as feed
+from agateshelf.core.feed import models as feed_models
+from agateshelf.core.feed import reading
+from agateshelf.core.feed import relaying
+from agateshelf.core.forwarding import ending
+from agateshelf.core.forwarding import lifecycle
+from agateshelf.core.poison import cuts
+
+Effects = list[effects.Effect]
+
+
+def on_event(
+    state: core_state.State, now: float, event: events.Event
+) -> Effects:
+    """Handle an event."""
+    match event:
+        case events.RequestArrived():
+            return lifecycle.on_request(state, now, event)
+        case events.TurnDecided():
+            return lifecycle.on_turn(state, now, event)
+        case events.TargetRefused():
+            return cuts.on_refused(state, now, event)
+        case events.TargetProbed():
+            return sampling.on_probed(state, now, event)
+        case events.AttemptAnswered():
+            return ending.on_answer(state, now, event)
+        case events.AttemptFailed():
+            return ending.on_failure(state, now, event)
+        case events.StreamEnded():
+            return ending.on_stream_end(state, now, event)
+        case events.CallerLeft():
+            return lifecycle.on_caller_left(state, now, event)
+        case events.DeadlinePassed():
+            return lifecycle.on_deadline(state, now, event)
+        case (
+            dispatch_models.DeskDue()
+            | dispatch_models.SamplersDue()
+            | dispatch_models.SampleDue()
+            | dispatch_models.ReportDue()
+            | dispatch_models.QuestionDue()
+        ):
+            return _on_dispatch_timer(state, now, event)
+        case _:
+            return _on_feed(state, now, event)
+
+
+def _on_dispatch_timer(
+    state: core_state.State,
+    now: float,
+    event: dispatch_models.DispatchTimer,
+) -> Effects:
+    match event:
+        case dispatch_models.DeskDue():
+            return desks.on_due(state, now, event)
+        case dispatch_models.SamplersDue():
+            return samplers.on_due(state, now, event)
+        case dispatch_models.SampleDue():
+            return sampling.on_due(state, now, event)
+        case dispatch_models.ReportDue():
+            return sampling.on_report_due(state, event)
+        case dispatch_models.QuestionDue():
+            return asking.on_due(state, now, event)
+
+
+def _on_feed(
+    state: core_state.State, now: float, event: events.Event
+) -> Effects:
+    match event:
+        case events.FeedAnswered():
+            return reading.on_answer(state, now, event)
+        case feed_models.FeedDue():
+            return feed.on_due(state, now)
+        case feed_models.RestOver():
+            return reading.on_rest_over(state, event)
+        case feed_models.ReaderLeft():
+            return feed.on_reader_left(state, now)
+        case events.RoutesAdopted():
+            return desks.open_own(state, now)
+        case events.TargetsChanged():
+            return [
+                *sampling.on_targets_changed(state, event),
+                *desks.on_targets_changed(state, now, event),
+            ]
+        case events.EntriesSeen():
+            state.dispatch.homes.clear()
+            return desks.on_entries(state, now)
+        case events.StopDeadlinePassed():
+            return lifecycle.on_stop_deadline(state, now)
+        case events.PeerVersionHeard():
+            return []
+        case _:
+            return [effects.Count("events.not_awaited")]
+
+
+def on_message(
+    state: core_state.State, now: float, event: events.PeerSpoke
+) -> Effects | None:
+    """Handle a message of another entry; None if it is something else."""
+    for handle in (desks.on_message, asking.on_message, relaying.on_message):
+        done = handle(state, now, event.peer, event.message)
+        if done is not None:
+            return done
+    return None
+
+
+def on_started(
+    state: core_state.State, now: float, event: events.Started
+) -> Effects:
+    """Begin to follow the routes."""
+    del event
+    return feed.on_started(state, now)
+
+
+def on_stop(state: core_state.State, now: float) -> Effects:
+    """Let others read the store, and exit once nothing is owed."""
+    del now
+    return [*relaying.on_stop(state), *lifecycle.exit_if_idle(state)]
--- /dev/null
+++ b/src/agateshelf/core/served.py
@@ -0,0 +1,168 @@
+"""What an entry that serves services does about events."""
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core.calls import ending
+from agateshelf.core.calls import lifecycle
+from agateshelf.core.claims import ends as claim_ends
+from agateshelf.core.claims import handling as claim_handling
+from agateshelf.core.claims import messages as claim_messages
+from agateshelf.core.claims import owners as claim_owners
+from agateshelf.core.claims import pauses as claim_pauses
+from agateshelf.core.claims import shards as claim_shards
+from agateshelf.core.configuration import handling as configuration
+from agateshelf.core.hedging import rules as hedging
+from agateshelf.core.limits import admission
+from agateshelf.core.limits import lending
+from agateshelf.core.poison import cuts
+from agateshelf.core.routing import groups
+from agateshelf.core.routing import homes
+from agateshelf.core.routing import placing
+
+Effects = list[effects.Effect]
+
+
+def on_event(
+    state: core_state.State, now: float, event: events.Event
+) -> Effects:
+    """Handle an event."""
+    match event:
+        case events.RequestArrived():
+            return lifecycle.on_request(state, now, event)
+        case events.CallAdmitted():
+            return lifecycle.on_admitted(state, now, event)
+        case events.CallCleared():
+            return lifecycle.on_cleared(state, now, event)
+        case events.TargetChosen():
+            return lifecycle.on_target_chosen(state, now, event)
+        case events.AttemptAnswered():
+            return ending.on_answer(state, now, event)
+        case events.PlacementEnded():
+            return homes.on_placement_ended(state, now, event)
+        case events.HedgeDue():
+            return hedging.on_due(state, now, event)
+        case events.AskOverdue():
+            return placing.on_overdue(state, now, event)
+        case events.DeadlinePassed():
+            return lifecycle.on_deadline(state, event)
+        case events.AttemptFailed():
+            return ending.on_failure(state, now, event)
+        case events.StreamEnded():
+            return ending.on_stream_end(state, now, event)
+        case events.CallerLeft():
+            return lifecycle.on_caller_left(state, event)
+        case _:
+            return _on_rare(state, now, event)
+
+
+def _on_rare(
+    state: core_state.State, now: float, event: events.Event
+) -> Effects:
+    """Handle what does not happen to each call."""
+    match event:
+        case events.ConfigurationRead():
+            claim_pauses.start(state, now)
+            return _adopt(state, now, event)
+        case events.StopDeadlinePassed():
+            return lifecycle.on_stop_deadline(state)
+        case events.CallRejected():
+            return lifecycle.on_rejected(state, event)
+        case events.CallReplayed():
+            return lifecycle.on_replayed(state, event)
+        case events.ClaimsSettled():
+            return lifecycle.exit_if_idle(state)
+        case events.SlotFreed():
+            return admission.on_slot_freed(state, now, event)
+        case events.LoansDue():
+            return lending.on_due(state, now)
+        case events.WaitEnded():
+            return admission.on_wait_ended(state, now, event)
+        case (
+            events.ClaimDecided()
+            | events.ClaimEnded()
+            | events.ClaimOverdue()
+            | events.ClaimsDue()
+            | events.ClaimsBeat()
+        ):
+            return claim_handling.on_event(state, now, event)
+        case events.StoreAnswered():
+            return _hand_store_answer(state, now, event)
+        case events.TargetRefused():
+            return cuts.on_refused(state, now, event)
+        case events.EntriesSeen():
+            return _on_entries(state, now, event)
+        case _:
+            return configuration.on_event(state, now, event)
+
+
+def on_started(
+    state: core_state.State, now: float, event: events.Started
+) -> Effects:
+    """Begin to follow the configuration."""
+    return configuration.on_started(state, now, event)
+
+
+def _on_entries(
+    state: core_state.State, now: float, event: events.EntriesSeen
+) -> Effects:
+    admission.adopt_entries(state, now, event)
+    claim_owners.adopt_entries(state, event)
+    groups.adopt_entries(state, now, event)
+    homes.forget_entries(state, now)
+    configuration.forget_entries(state)
+    return []
+
+
+def _hand_store_answer(
+    state: core_state.State, now: float, event: events.StoreAnswered
+) -> Effects:
+    if event.request in state.claims.asked:
+        return claim_shards.on_store_answer(state, now, event)
+    done = configuration.on_store_answer(state, now, event)
+    if done is not None:
+        return done
+    return [effects.Count("events.not_awaited")]
+
+
+def on_message(
+    state: core_state.State, now: float, event: events.PeerSpoke
+) -> Effects | None:
+    """Handle a message of another entry; None if it is something else."""
+    done = homes.on_message(state, now, event.peer, event.message)
+    if done is not None:
+        return done
+    match event.message:
+        case (
+            claim_messages.RecordsProposed() | claim_messages.RecordsDecided()
+        ) as message:
+            return claim_handling.on_message(state, now, event.peer, message)
+        case _:
+            pass
+    done = lending.on_message(state, now, event)
+    if done is not None:
+        return done
+    return configuration.on_message(state, now, event.peer, event.message)
+
+
+def _adopt(
+    state: core_state.State, now: float, event: events.ConfigurationRead
+) -> Effects:
+    if event.configuration.version <= state.cfg.version:
+        return configuration.on_not_adopted(state, event.configuration.version)
+    state.cfg = event.configuration
+    state.version = state.cfg.version
+    groups.adopt_configuration(state.routing, state.cfg, now)
+    admission.adopt_configuration(state, now)
+    return [
+        effects.Count("configuration.adopted"),
+        *configuration.on_adopted(state, now),
+    ]
+
+
+def on_stop(state: core_state.State, now: float) -> Effects:
+    """Tell the ends of claims, and exit once nothing is owed."""
+    return [
+        *claim_ends.on_stop(state, now),
+        *lifecycle.exit_if_idle(state),
+    ]
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -2,25 +2,29 @@
 
 import collections
 import dataclasses
+import importlib
 import random
+from typing import TYPE_CHECKING
 
 from agateshelf.core import events
 from agateshelf.core import timers
-from agateshelf.core.calls import models as call_models
-from agateshelf.core.claims import models as claim_models
-from agateshelf.core.configuration import models as configuration_models
-from agateshelf.core.configuration import spread_models
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.dispatch import models as dispatch_models
 from agateshelf.core.feed import models as feed_models
 from agateshelf.core.forwarding import models as forwarding_models
-from agateshelf.core.hedging import models as hedging_models
-from agateshelf.core.limits import models as limit_models
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.poison import models as poison_models
-from agateshelf.core.retries import models as retry_models
 from agateshelf.core.routes import models as route_models
-from agateshelf.core.routing import models as routing_models
+
+if TYPE_CHECKING:
+    from agateshelf.core.calls import models as call_models
+    from agateshelf.core.claims import models as claim_models
+    from agateshelf.core.configuration import models as configuration_models
+    from agateshelf.core.configuration import spread_models
+    from agateshelf.core.hedging import models as hedging_models
+    from agateshelf.core.limits import models as limit_models
+    from agateshelf.core.retries import models as retry_models
+    from agateshelf.core.routing import models as routing_models
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,34 +46,29 @@
 class State:
     """State of one reducer; only the reducer changes it.
 
+    The parts that only entries with services have are added by
+    `service_state`; an entry that follows routes never loads them.
+
     Attributes:
         identity: Who this entry is.
         rng: The only source of randomness.
-        cfg: The configuration in force.
+        version: Version of the services' configuration in force; 0 if none.
         inbox: Events that parts post to each other, reduced before the
             reducer returns.
         last_store_request: Number of the latest request to the store.
         stopping: Whether a graceful stop has begun.
+        cfg: The services' configuration in force.
     """
 
     identity: Identity
     rng: random.Random
-    cfg: configuration_models.Configuration
-    calls: call_models.CallsState
-    routing: routing_models.RoutingState
-    membership: membership_models.MembershipState
-    configuration: spread_models.ConfigurationState
     timers: timers.Timers
-    claims: claim_models.ClaimsState
-    poison: poison_models.PoisonState
-    limits: limit_models.LimitsState = dataclasses.field(
-        default_factory=limit_models.LimitsState
+    version: int = 0
+    membership: membership_models.MembershipState = dataclasses.field(
+        default_factory=membership_models.MembershipState
     )
-    retries: retry_models.RetriesState = dataclasses.field(
-        default_factory=retry_models.RetriesState
-    )
-    hedging: hedging_models.HedgingState = dataclasses.field(
-        default_factory=hedging_models.HedgingState
+    poison: poison_models.PoisonState = dataclasses.field(
+        default_factory=poison_models.PoisonState
     )
     routes: route_models.RoutesState = dataclasses.field(
         default_factory=route_models.RoutesState
@@ -91,25 +90,32 @@
     )
     last_store_request: int = 0
     stopping: bool = False
+    cfg: "configuration_models.Configuration" = dataclasses.field(init=False)
+    calls: "call_models.CallsState" = dataclasses.field(init=False)
+    routing: "routing_models.RoutingState" = dataclasses.field(init=False)
+    configuration: "spread_models.ConfigurationState" = dataclasses.field(
+        init=False
+    )
+    claims: "claim_models.ClaimsState" = dataclasses.field(init=False)
+    limits: "limit_models.LimitsState" = dataclasses.field(init=False)
+    retries: "retry_models.RetriesState" = dataclasses.field(init=False)
+    hedging: "hedging_models.HedgingState" = dataclasses.field(init=False)
 
 
-def create_state(identity: Identity, seed: int) -> State:
-    """Create the state of an entry that has just started."""
-    rng = random.Random(seed)
-    return State(
-        identity=identity,
-        rng=rng,
-        cfg=configuration_models.create_empty(),
-        calls=call_models.CallsState(),
-        routing=routing_models.RoutingState(),
-        membership=membership_models.MembershipState(),
-        configuration=spread_models.ConfigurationState(),
-        timers=timers.Timers(),
-        poison=poison_models.PoisonState(),
-        claims=claim_models.create_state(
-            identity.entry, rng.randbytes(claim_models.INCARNATION_BYTES)
-        ),
-    )
+def create_state(
+    identity: Identity, seed: int, *, has_services: bool = True
+) -> State:
+    """Create the state of an entry that has just started.
+
+    Args:
+        identity: Who it is.
+        seed: Seed of its randomness.
+        has_services: Whether it serves services; else it follows routes.
+    """
+    state = State(identity, random.Random(seed), timers.Timers())
+    if has_services:
+        importlib.import_module("agateshelf.core.service_state").add(state)
+    return state
 
 
 def next_store_request(state: State) -> int:
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -15,7 +15,6 @@
 from agateshelf.core import reducer
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
-from agateshelf.core.configuration import models as configuration_models
 from agateshelf.core.routes import models as route_models
 from agateshelf.daemon import clock
 from agateshelf.daemon import feeds
@@ -35,6 +34,7 @@
 # Tracing is off by default, and what it imports is large; so are the documents
 # of services, which an entry that follows routes never reads.
 if TYPE_CHECKING:
+    from agateshelf.core.configuration import models as configuration_models
     from agateshelf.daemon import tracing
     from agateshelf.documents import configuration
 
@@ -236,10 +236,16 @@
 
     def service_of(
         self, request: messages.Request
-    ) -> configuration_models.Service | None:
-        """Return the service that a request belongs to."""
+    ) -> "configuration_models.Service | None":
+        """Return the service that a request belongs to, if any are served."""
+        if self.state.feed.enabled:
+            return None
         path = request.path.decode("latin-1")
-        return configuration_models.service_of(self.state.cfg, path)
+        models = importlib.import_module("agateshelf.core.configuration.models")
+        found: configuration_models.Service | None = models.service_of(
+            self.state.cfg, path
+        )
+        return found
 
     async def _deliver(self, effect: effects.DeliverAnswer) -> None:
         answer = self.targets.take_answer(effect.attempt)
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -107,7 +107,9 @@
     )
     counted = metrics.create_metrics(cfg.statsd)
     driver = daemon_driver.Driver(
-        state=core_state.create_state(identity, seed),
+        state=core_state.create_state(
+            identity, seed, has_services=cfg.routes is None
+        ),
         exchanges=exchanges.Exchanges(),
         targets=target_client.TargetClient(
             connections=pool.Pool(cfg.limits.kept_target_connections),
@@ -155,6 +157,8 @@
 
 def _use_services(driver: daemon_driver.Driver, cfg: settings.Settings) -> None:
     """Serve the services of a configuration that operators patch."""
+    module = importlib.import_module("agateshelf.daemon.peers.service_types")
+    module.add()
     driver.store = store.StoreClient(client.Client(cfg.platform.store))
 
 
--- a/src/agateshelf/daemon/peers/codec.py
+++ b/src/agateshelf/daemon/peers/codec.py
@@ -10,15 +10,11 @@
 import msgspec
 
 from agateshelf import exceptions
-from agateshelf.core.claims import messages as claim_messages
-from agateshelf.core.configuration import messages as configuration_messages
 from agateshelf.core.dispatch import messages as dispatch_messages
 from agateshelf.core.feed import messages as feed_messages
-from agateshelf.core.limits import messages as limit_messages
 from agateshelf.core.membership import messages as membership_messages
 from agateshelf.core.peers import models
 from agateshelf.core.poison import messages as poison_messages
-from agateshelf.core.routing import messages as routing_messages
 from agateshelf.daemon.peers import const
 
 _TYPES: tuple[type[models.PeerMessage], ...] = (
@@ -28,21 +24,8 @@
     membership_messages.AckFor,
     membership_messages.RosterWanted,
     membership_messages.RosterPage,
-    configuration_messages.Announce,
-    configuration_messages.PullContent,
-    configuration_messages.ContentChunk,
-    configuration_messages.AskVersion,
-    configuration_messages.TellVersion,
-    claim_messages.RecordsProposed,
-    claim_messages.RecordsDecided,
-    limit_messages.PartsWanted,
-    limit_messages.PartsLent,
     poison_messages.CrashSeen,
     poison_messages.SuspectCleared,
-    routing_messages.TargetAsked,
-    routing_messages.TargetNamed,
-    routing_messages.AttemptSettled,
-    routing_messages.TargetTold,
     feed_messages.FeedBeat,
     feed_messages.FeedWanted,
     feed_messages.FeedNews,
@@ -91,6 +74,12 @@
 _decoders = {kind.__name__: msgspec.msgpack.Decoder(kind) for kind in _TYPES}
 
 
+def add_types(kinds: tuple[type[models.PeerMessage], ...]) -> None:
+    """Read messages of these kinds too."""
+    for kind in kinds:
+        _decoders[kind.__name__] = msgspec.msgpack.Decoder(kind)
+
+
 def encode(
     sender: str, epoch: int, sequence: int, message: models.PeerMessage
 ) -> bytes:
--- /dev/null
+++ b/src/agateshelf/daemon/peers/service_types.py
@@ -0,0 +1,29 @@
+"""The messages between entries that serve services."""
+
+from agateshelf.core.claims import messages as claim_messages
+from agateshelf.core.configuration import messages as configuration_messages
+from agateshelf.core.limits import messages as limit_messages
+from agateshelf.core.peers import models
+from agateshelf.core.routing import messages as routing_messages
+from agateshelf.daemon.peers import codec
+
+_TYPES: tuple[type[models.PeerMessage], ...] = (
+    claim_messages.RecordsProposed,
+    claim_messages.RecordsDecided,
+    configuration_messages.Announce,
+    configuration_messages.PullContent,
+    configuration_messages.ContentChunk,
+    configuration_messages.AskVersion,
+    configuration_messages.TellVersion,
+    limit_messages.PartsWanted,
+    limit_messages.PartsLent,
+    routing_messages.TargetAsked,
+    routing_messages.TargetNamed,
+    routing_messages.AttemptSettled,
+    routing_messages.TargetTold,
+)
+
+
+def add() -> None:
+    """Have the codec read them."""
+    codec.add_types(_TYPES)
--- a/src/agateshelf/daemon/status.py
+++ b/src/agateshelf/daemon/status.py
@@ -79,7 +79,7 @@
         return False
     if state.feed.enabled:
         return state.routes.table is not None and bool(state.directory.targets)
-    return state.cfg.version > 0
+    return state.version > 0
 
 
 def _reply(status: http.HTTPStatus, body: bytes) -> problems.Reply:
--- a/tests/core/dispatch/test_load.py
+++ b/tests/core/dispatch/test_load.py
@@ -5,6 +5,7 @@
 import pytest
 
 from agateshelf.core.dispatch import hedging
+from agateshelf.core.dispatch import scheduling
 from bench import dispatching
 
 
@@ -66,3 +67,24 @@
     asked = sum(counted.asked for counted in world.tallies.values())
     allowed = bounds.repeat_share * asked + windows * bounds.repeat_slack
     assert world.repeats <= allowed
+
+
+def test_a_long_queue_before_full_targets_costs_no_look_at_them(monkeypatch):
+    # trouble-1 of tsagaan-intake-grown: in the burst the home looked at all
+    # 48 targets for each of a hundred waiting lookups at each word it heard,
+    # 3.5 ms a time, and kept silent for lack of processor.
+    scene = dispatching.Scene(48, 3, (dispatching.LOOKUPS,))
+    world = dispatching.World(scene, 1)
+    now = 100.0
+    for target in world.desk.targets.values():
+        target.foreign = target.registration.slots
+    for _ in range(100):
+        world.arrive(now, dispatching.LOOKUPS)
+    looks = []
+    offer = scheduling._offer
+    monkeypatch.setattr(
+        scheduling, "_offer", lambda *a: looks.append(a) or offer(*a)
+    )
+    scheduling.decide(world.desk, now, world.rng)
+    assert len(world.desk.waiting) == 100
+    assert not looks
--- a/tests/core/routed_fleet.py
+++ b/tests/core/routed_fleet.py
@@ -103,7 +103,9 @@
         for index, domain in enumerate(domains):
             name = f"10.0.0.{index}:7000"
             identity = core_state.Identity(name, domain)
-            created = core_state.create_state(identity, seed + index)
+            created = core_state.create_state(
+                identity, seed + index, has_services=False
+            )
             self.nodes[name] = Node(name, created)
 
     def start(self):
