--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -15,7 +15,7 @@
 from soak import main as soak
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-SEEDS = (1, 11, 12, 21, 22, 31)
+SEEDS = tuple(range(1, 11))
 SECONDS = 12.0
 _CORE = "agateshelf/core"
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -172,8 +172,11 @@
 
 
 FAULTS_PER_SECOND = 1.0
-CALM_SECONDS = 3.0
 MOST_SECONDS = 4.0
+# Share of the seeds whose faults are planned work alone: some promises hold
+# only while nothing else goes wrong.
+PLANNED_SHARE = 0.35
+_PLANNED = (StopEntry, HangUp, DrainTarget, NewTable, Burst)
 
 
 def create_plan(seed: int, seconds: float = 15.0) -> Plan:
@@ -183,11 +186,16 @@
     targets = 2 * rng.randint(2, 4)
     count = round(seconds * FAULTS_PER_SECOND * rng.uniform(0.3, 1.3))
     times = sorted(rng.uniform(0.0, seconds) for _ in range(count))
-    drawn = tuple((at, _draw(rng, entries, targets)) for at in times)
+    planned = rng.random() < PLANNED_SHARE
+    drawn = tuple(
+        (at, _draw(rng, entries, targets, planned=planned)) for at in times
+    )
     return Plan(seed, entries, targets, seconds, drawn)
 
 
-def _draw(rng: random.Random, entries: int, targets: int) -> Fault:
+def _draw(
+    rng: random.Random, entries: int, targets: int, *, planned: bool
+) -> Fault:
     entry = rng.randrange(entries)
     target = rng.randrange(targets)
     seconds = rng.uniform(0.2, MOST_SECONDS)
@@ -215,5 +223,9 @@
         (4, NewTable()),
         (2, Burst(seconds)),
     ]
+    if planned:
+        faults = [
+            (w, fault) for w, fault in faults if isinstance(fault, _PLANNED)
+        ]
     weights = [weight for weight, _ in faults]
     return rng.choices([fault for _, fault in faults], weights)[0]
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -17,8 +17,8 @@
 # about the time of one system call.
 NOTE_SECONDS = 0.05
 # The budget that the entries share, as their settings say.
-REPEAT_SHARE = 0.2
-REPEAT_SLACK = 20
+REPEAT_SHARE = 0.05
+REPEAT_SLACK = 9
 REPEAT_SECONDS = 10.0
 MOST_ATTEMPTS = 2
 MOST_OVER_ATTEMPTS = 3
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -17,6 +17,7 @@
 from soak import callers
 from soak import faults
 from soak import links
+from soak import promises
 from soak import records
 
 DOMAINS = ("boston", "hartford")
@@ -236,9 +237,9 @@
             "seeds": seeds,
         },
         "routes": {
-            "repeat_share": 0.2,
-            "repeat_slack": 20,
-            "repeat_seconds": 10,
+            "repeat_share": promises.REPEAT_SHARE,
+            "repeat_slack": promises.REPEAT_SLACK,
+            "repeat_seconds": promises.REPEAT_SECONDS,
             "probes_per_second": 40,
             "grace_seconds": GRACE_SECONDS,
         },
