--- a/soak/deeds.py
+++ b/soak/deeds.py
@@ -191,15 +191,17 @@
 
 
 async def _break(scene: scenes.Scene, fault: faults.BreakLink) -> None:
+    what = "link"
     match fault.kind:
         case "store":
             link = scene.entries[fault.index].store
         case "peers":
             link = scene.entries[fault.index].peers
         case _:
+            what = "target"
             link = scene.members[fault.index].link
     begin = time.time()
     await link.change(fault.mode)
     await curio.sleep(fault.seconds)
     await link.change(faults.Mode.PASS)
-    scene.disturb("link", fault.index, begin)
+    scene.disturb(what, fault.index, begin)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -75,6 +75,19 @@
     )
 
 
+def _in_touch(
+    record: records.Record, entry: int, begin: float, end: float
+) -> bool:
+    """Return whether an entry could hear of what the store says.
+
+    What befalls other entries, readers among them, is no excuse.
+    """
+    if _disturbed(record, begin, end, what=("store",)):
+        return False
+    own = ("entry", "stop", "link")
+    return not _disturbed(record, begin, end, what=own, index=entry)
+
+
 def _doubled(record: records.Record) -> list[str]:
     runs = _runs(record)
     return [
@@ -136,6 +149,7 @@
 
 def _drained(record: records.Record) -> list[str]:
     left: dict[str, float] = {}
+    entry_of = {call.id: call.entry for call in record.calls}
     found = []
     for line in record.runs:
         if line["kind"] == "left":
@@ -145,9 +159,9 @@
             continue
         if line["at"] <= since + DRAIN_SECONDS:
             continue
-        everything = ("entry", "store", "link", "stop")
         begin = since - STABLE_SECONDS
-        if not _disturbed(record, begin, line["at"], what=everything):
+        entry = entry_of.get(line["id"])
+        if entry is not None and _in_touch(record, entry, begin, line["at"]):
             found.append(f"{line['id']} ran at {line['by']}, which had left")
     return found
 
@@ -192,8 +206,7 @@
         if call.sent <= at + CONFIGURATION_SECONDS:
             continue
         begin = at - STABLE_SECONDS
-        calm = ("store", "stop", "link", "entry")
-        if not _disturbed(record, begin, call.sent, what=calm):
+        if _in_touch(record, call.entry, begin, call.sent):
             found.append(f"entry {call.entry} did not know version {version}")
     return found
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -42,7 +42,7 @@
     """A time in which something was not as usual.
 
     Attributes:
-        what: `entry`, `store`, `link`, `target` or `stop`.
+        what: `entry`, `stop` and `link` of an entry, `target`, or `store`.
         index: Number of the entry or target; -1 for all.
         begin: When it began.
         end: When it was over.
--- a/src/agateshelf/core/dispatch/homes.py
+++ b/src/agateshelf/core/dispatch/homes.py
@@ -24,12 +24,40 @@
     """Return the live entries in the order in which they are homes."""
     known = state.dispatch.homes.get(service)
     if known is None:
-        entries = view.live_entries(state)
-        known = _rank(state, f"dispatch/{service}", entries)
+        _assign(state)
+        known = state.dispatch.homes.get(service)
+    if known is None:
+        known = _ranking_of(state, service)
         state.dispatch.homes[service] = known
     return known
 
 
+def _assign(state: core_state.State) -> None:
+    """Give the services of the routes homes of their own.
+
+    Answers a burst on several services at once: the entry that is the home of
+    two has twice as much to do. Where there are more services than entries,
+    the homes come round again.
+    """
+    table = state.routes.table
+    if table is None:
+        return
+    free = set(view.live_entries(state))
+    for service in sorted(table.health_paths):
+        ranking = _ranking_of(state, service)
+        first = next((e for e in ranking if e in free), ranking[0])
+        free.discard(first)
+        if not free:
+            free = set(ranking)
+        others = tuple(entry for entry in ranking if entry != first)
+        state.dispatch.homes[service] = (first, *others)
+
+
+def _ranking_of(state: core_state.State, service: str) -> tuple[str, ...]:
+    entries = view.live_entries(state)
+    return _rank(state, f"dispatch/{service}", entries)
+
+
 def ranked_in(
     state: core_state.State, job: str, failure_domain: str
 ) -> tuple[str, ...]:
--- a/src/agateshelf/core/routed.py
+++ b/src/agateshelf/core/routed.py
@@ -85,6 +85,7 @@
         case feed_models.ReaderLeft():
             return feed.on_reader_left(state, now)
         case events.RoutesAdopted():
+            state.dispatch.homes.clear()
             return desks.open_own(state, now)
         case events.TargetsChanged():
             return [
--- a/tests/core/dispatch/test_dispatch.py
+++ b/tests/core/dispatch/test_dispatch.py
@@ -10,6 +10,7 @@
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.dispatch import homes
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.routes import models as route_models
 
 NOT_RUN = outcome_models.Outcome.NOT_RUN
 
@@ -150,6 +151,28 @@
     assert most <= 6
 
 
+def test_services_have_homes_of_their_own_while_there_are_entries():
+    # trouble-1 of tsagaan-intake-grown: one entry of a hundred was the home
+    # of two services of three, and kept silent in the burst.
+    fleet = routed_fleet.create_fleet(("boston",) * 8)
+    routes = [
+        routed_fleet.create_route(
+            name=f"r{n}",
+            prefix=f"/s{n}/",
+            shares=(route_models.Share(f"s{n}", 1.0),),
+        )
+        for n in range(8)
+    ]
+    fleet.change(table=routed_fleet.create_table(2, *routes))
+    fleet.run_for(1.0)
+    found = {
+        tuple(homes.ranked(node.state, f"s{n}")[0] for n in range(8))
+        for node in fleet.nodes.values()
+    }
+    assert len(found) == 1
+    assert len(set(found.pop())) == 8
+
+
 def test_jobs_go_to_the_machines_that_bear_them():
     domains = ("boston",) * 10
     fleet = routed_fleet.RoutedFleet(domains)
