--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -15,7 +15,7 @@
 from soak import main as soak
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-SEEDS = tuple(range(1, 11))
+SEEDS = (9, 7, 8, 1, 2, 3, 5, 11)
 SECONDS = 12.0
 _CORE = "agateshelf/core"
 
