Go on answering when the reader of the log is gone

A line written to a closed pipe raised BrokenPipeError in the middle of a decision: callers' connections were reset. It is counted as left out now, like one that does not fit.

--- a/src/agateshelf/daemon/notes.py
+++ b/src/agateshelf/daemon/notes.py
@@ -86,7 +86,9 @@
         data = self.rest + line
         try:
             written = os.write(self.descriptor, data)
-        except BlockingIOError:
+        except OSError:
+            # The reader is slow, or gone; the next line that can be written
+            # tells how many were left out.
             self.left_out += 1
             return
         # A line that has begun is ended before another one begins.
