--- a/bench/slopes_live.py
+++ b/bench/slopes_live.py
@@ -23,7 +23,7 @@
 
 
 def start(running: system.System, count: int) -> list[system.Entry]:
-    """Start a store, an instance list, a target and connected entries."""
+    """Start a store, a target and connected entries."""
     store = running.start_stand_in("store", "--port", "0")
     target = running.start_stand_in(
         "target", "--port", "0", "--id", "t0", "--service-ms", "0"
--- a/src/agateshelf_standins/__init__.py
+++ b/src/agateshelf_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the platform: targets, store and instance list."""
+"""Small stand-ins for the platform: targets and its store."""
