--- a/tests/platform/test_feed_client.py
+++ b/tests/platform/test_feed_client.py
@@ -29,6 +29,10 @@
     }
 
 
+# What a script returns to have the connection end without an answer.
+CUT = "cut"
+
+
 class ScriptedStore:
     """Answers each request with what a script returns for it."""
 
@@ -62,6 +66,8 @@
             if answer is None:
                 await curio.sleep(60)
                 return
+            if answer == CUT:
+                return
             status, body = answer
             data = (
                 body if isinstance(body, bytes) else json.dumps(body).encode()
@@ -145,6 +151,14 @@
     assert answer == models.HistoryGone()
 
 
+def test_a_watch_that_is_cut_is_told_and_changes_nothing():
+    answer, _ = answer_of(
+        lambda _path, _asked: CUT, effects.WatchFeed(1, TARGETS, 3, 5.0)
+    )
+    assert isinstance(answer, models.Unavailable)
+    assert answer.reason
+
+
 @pytest.mark.parametrize(
     "script",
     [
