--- a/soak/links.py
+++ b/soak/links.py
@@ -26,18 +26,26 @@
         address: Where it listens.
         mode: What it does with the bytes.
         sockets: All its open sockets.
+        tasks: The tasks that accept and serve its connections.
     """
 
     upstream: str = ""
     address: str = ""
     mode: faults.Mode = faults.Mode.PASS
     sockets: set[Any] = dataclasses.field(default_factory=set)
+    tasks: set[curio.Task] = dataclasses.field(default_factory=set)
 
     async def start(self) -> None:
         """Listen on a free port."""
         listener = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=256)
         self.address = f"127.0.0.1:{listener.getsockname()[1]}"
-        await curio.spawn(self._accept, listener, daemon=True)
+        task = await curio.spawn(self._accept, listener, daemon=True)
+        self.tasks.add(task)
+
+    async def stop(self) -> None:
+        """End the link: what it accepts later would outlive the loop."""
+        while self.tasks:
+            await self.tasks.pop().cancel()
 
     async def change(self, mode: faults.Mode) -> None:
         """Behave otherwise from now on, on all connections."""
@@ -50,9 +58,16 @@
         async with listener:
             while True:
                 sock, _ = await listener.accept()
-                await curio.spawn(self._serve, sock, daemon=True)
+                task = await curio.spawn(self._serve, sock, daemon=True)
+                self.tasks.add(task)
 
     async def _serve(self, sock: Any) -> None:
+        try:
+            await self._join(sock)
+        finally:
+            self.tasks.discard(await curio.current_task())
+
+    async def _join(self, sock: Any) -> None:
         if self.mode is faults.Mode.RESET:
             await _reset(sock)
             return
--- a/soak/main.py
+++ b/soak/main.py
@@ -52,7 +52,7 @@
         record.over = time.time()
         _note_ends(scene)
     finally:
-        scene.stop()
+        await scene.stop()
     record.runs = member.read_ledger(scene.ledger)
     return record
 
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -137,8 +137,16 @@
             )
         one.down = False
 
-    def stop(self) -> None:
-        """End all processes that the soak started."""
+    async def stop(self) -> None:
+        """End all links, and all processes that the soak started."""
+        for entry in self.entries:
+            await entry.store.stop()
+            await entry.peers.stop()
+        for one in self.members:
+            await one.link.stop()
+        self._end_processes()
+
+    def _end_processes(self) -> None:
         for one in self.entries:
             if one.popen is not None and one.popen.poll() is None:
                 one.popen.send_signal(signal.SIGCONT)
--- a/tests/daemon/test_blocked_output.py
+++ b/tests/daemon/test_blocked_output.py
@@ -49,7 +49,7 @@
         front = scene.entries[0].front
         return await curio.run_in_thread(ask_many, front)
     finally:
-        scene.stop()
+        await scene.stop()
 
 
 def ask_many(address):
