--- a/soak/deeds.py
+++ b/soak/deeds.py
@@ -1,6 +1,7 @@
 """Doing to the processes of a soak what its plan says."""
 
 import signal
+import subprocess
 import time
 from typing import Any
 
@@ -26,7 +27,11 @@
                 for entry in scene.entries:
                     await group.spawn(_kill_entry, scene, entry, fault.seconds)
         case faults.PauseEntry():
-            await _pause_entry(scene, scene.entries[fault.entry], fault.seconds)
+            entry = scene.entries[fault.entry]
+            if entry.popen is not None:
+                await _pause(
+                    scene, "entry", entry.number, entry.popen, fault.seconds
+                )
         case faults.HangUp():
             await _hang_up(scene.entries[fault.entry], fault.times)
         case faults.DrainTarget():
@@ -34,7 +39,15 @@
         case faults.KillTarget():
             await _kill_target(scene, scene.members[fault.target], fault)
         case faults.PauseTarget():
-            await _pause_target(scene, scene.members[fault.target], fault)
+            one = scene.members[fault.target]
+            if one.process is not None and not one.down:
+                await _pause(
+                    scene,
+                    "target",
+                    one.number,
+                    one.process.popen,
+                    fault.seconds,
+                )
         case faults.ChangeTarget():
             one = scene.members[fault.target]
             await _change(scene, "target", one.number, one.process, fault)
@@ -95,18 +108,22 @@
     scene.disturb("entry", entry.number, begin)
 
 
-async def _pause_entry(
-    scene: scenes.Scene, entry: scenes.Entry, seconds: float
+async def _pause(
+    scene: scenes.Scene,
+    what: str,
+    index: int,
+    popen: subprocess.Popen[Any],
+    seconds: float,
 ) -> None:
-    if entry.popen is None or entry.popen.poll() is not None:
+    """Have a process stand still; one that is down stays so."""
+    if popen.poll() is not None:
         return
-    popen = entry.popen
     begin = time.time()
     popen.send_signal(signal.SIGSTOP)
     await curio.sleep(seconds)
     if popen.poll() is None:
         popen.send_signal(signal.SIGCONT)
-    scene.disturb("entry", entry.number, begin)
+    scene.disturb(what, index, begin)
 
 
 async def _hang_up(entry: scenes.Entry, times: int) -> None:
@@ -144,20 +161,6 @@
     scene.disturb("target", one.number, begin)
 
 
-async def _pause_target(
-    scene: scenes.Scene, one: scenes.Member, fault: faults.PauseTarget
-) -> None:
-    if one.down or one.process is None:
-        return
-    popen = one.process.popen
-    begin = time.time()
-    popen.send_signal(signal.SIGSTOP)
-    await curio.sleep(fault.seconds)
-    if popen.poll() is None:
-        popen.send_signal(signal.SIGCONT)
-    scene.disturb("target", one.number, begin)
-
-
 async def _change(
     scene: scenes.Scene,
     what: str,
--- a/src/agateshelf/cli/explain.py
+++ b/src/agateshelf/cli/explain.py
@@ -64,7 +64,7 @@
     told: set[tuple[object, ...]] = set()
     story: list[Line] = []
     for line in lines:
-        if line in own:
+        if line.get("request") == request_id:
             story.append(line)
         elif _concerns(line, targets, since, until):
             # Every entry logs the same news of a target.
--- a/src/agateshelf/core/dispatch/const.py
+++ b/src/agateshelf/core/dispatch/const.py
@@ -29,6 +29,8 @@
 # about as much as their speeds do.
 STALE_SECONDS: Final = 2.0
 STALE_SPREAD: Final = 0.5
+# Told as the age of a report that never came.
+UNHEARD_SECONDS: Final = 3600.0
 LEAST_SPEED: Final = 0.01
 MOST_SPEED: Final = 10.0
 # Time that a request and its answer travel between failure domains.
--- a/src/agateshelf/core/dispatch/desks.py
+++ b/src/agateshelf/core/dispatch/desks.py
@@ -1,5 +1,7 @@
 """The home's side: desks, what they are asked, and what they hear."""
 
+import math
+
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import state as core_state
@@ -62,12 +64,9 @@
     touched = set()
     for target in event.targets:
         registration = state.directory.targets.get(target)
+        service = None if registration is None else registration.service
         for desk in state.dispatch.desks.values():
-            belongs = (
-                registration is not None
-                and registration.service == desk.service
-            )
-            if registration is not None and belongs:
+            if registration is not None and service == desk.service:
                 _adopt_target(desk, registration, now)
                 touched.add(desk.service)
             elif desk.targets.pop(target, None) is not None:
@@ -161,15 +160,11 @@
         target=target.registration.id,
         expected=turn.expected,
         speed=target.speed,
-        heard=min(now - target.heard_at, _LONG_SECONDS),
+        heard=min(now - target.heard_at, const.UNHEARD_SECONDS),
         held=target.held - 1,
     )
 
 
-# Told of a target that has not reported yet.
-_LONG_SECONDS = 3600.0
-
-
 def _may_repeat(
     state: core_state.State,
     now: float,
@@ -309,13 +304,10 @@
     if desk is None:
         return []
     if now >= desk.wakes_at:
-        desk.wakes_at = _NEVER
+        desk.wakes_at = math.inf
     return decide(state, now, desk)
 
 
-_NEVER = float("inf")
-
-
 def decide(state: core_state.State, now: float, desk: models.Desk) -> Effects:
     """Decide on the waiting turns and tell the entries that asked."""
     done: Effects = []
--- a/src/agateshelf/core/dispatch/homes.py
+++ b/src/agateshelf/core/dispatch/homes.py
@@ -58,22 +58,25 @@
     return _rank(state, f"dispatch/{service}", entries)
 
 
-def ranked_in(
-    state: core_state.State, job: str, failure_domain: str
+def sampling_order(
+    state: core_state.State, service: str, failure_domain: str
 ) -> tuple[str, ...]:
-    """Return the live entries of a failure domain in their order for a job."""
-    known = state.dispatch.homes.get(job)
+    """Return the entries of a failure domain in the order they sample in."""
+    key = (service, failure_domain)
+    known = state.dispatch.sampling_orders.get(key)
     if known is None:
-        entries = tuple(
-            entry
-            for entry, domain in state.membership.domains.items()
-            if domain == failure_domain
-        )
-        known = _rank(state, f"samples/{job}", entries)
-        state.dispatch.homes[job] = known
+        entries = view.entries_in(state, failure_domain)
+        known = _rank(state, f"samples/{service}/{failure_domain}", entries)
+        state.dispatch.sampling_orders[key] = known
     return known
 
 
+def forget(state: core_state.State) -> None:
+    """Forget who does what: the live entries or the routes have changed."""
+    state.dispatch.homes.clear()
+    state.dispatch.sampling_orders.clear()
+
+
 def _rank(
     state: core_state.State, job: str, entries: tuple[str, ...]
 ) -> tuple[str, ...]:
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -271,8 +271,9 @@
         samplers: What this entry samples, by service and failure domain.
         questions: Questions under way, by number.
         last_question: Number of the latest one.
-        homes: Live entries in the order in which they do a job, by its name,
-            until the live entries change.
+        homes: Live entries in the order in which they are homes of a service,
+            until the live entries or the routes change.
+        sampling_orders: The same of sampling, by service and failure domain.
         suspected: Until when a silent home is passed over.
     """
 
@@ -284,6 +285,9 @@
     questions: dict[int, Question] = dataclasses.field(default_factory=dict)
     last_question: int = 0
     homes: dict[str, tuple[str, ...]] = dataclasses.field(default_factory=dict)
+    sampling_orders: dict[tuple[str, str], tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
     suspected: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
--- a/src/agateshelf/core/dispatch/samplers.py
+++ b/src/agateshelf/core/dispatch/samplers.py
@@ -86,7 +86,7 @@
     me = state.identity.entry
     if not _is_for_others(state, now, desk):
         return me
-    for entry in homes.ranked_in(state, f"{desk.service}/{domain}", domain):
+    for entry in homes.sampling_order(state, desk.service, domain):
         if entry != me and desk.quiet.get(entry, 0.0) <= now:
             return entry
     return me
--- a/src/agateshelf/core/feed/checking.py
+++ b/src/agateshelf/core/feed/checking.py
@@ -43,7 +43,7 @@
             return _on_silence(state, answer)
         case models.Snapshot():
             feed.deaf = False
-            return adoption.adopt_table(state, answer.table, "store")
+            return adoption.adopt_table(state, answer.table, const.SOURCE_STORE)
         case _:
             feed.deaf = False
             return []
--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -2,6 +2,11 @@
 
 from typing import Final
 
+# Where news came from, for the log.
+SOURCE_STORE: Final = "store"
+SOURCE_PEER: Final = "peer"
+SOURCE_LAPSE: Final = "lapse"
+
 # Readers tell their failure domain so often that they are current. Several
 # beats fit into the time within which a change must be in force.
 BEAT_SECONDS: Final = 0.4
--- a/src/agateshelf/core/feed/handling.py
+++ b/src/agateshelf/core/feed/handling.py
@@ -19,19 +19,16 @@
 
 Effects = list[effects.Effect]
 
-_LAPSE = "lapse"
-
 
 def on_started(state: core_state.State, now: float) -> Effects:
     """Read everything once, and look after the feed from now on."""
     feed = state.feed
-    feed.enabled = True
     feed.current_at = now + const.START_SECONDS - const.SILENCE_SECONDS
     _schedule(state, now)
     return [
         effect
         for topic in models.Topic
-        for effect in reading.read(state, topic, now, stale=True)
+        for effect in reading.read(state, topic, stale=True)
     ]
 
 
@@ -42,7 +39,9 @@
 def on_due(state: core_state.State, now: float) -> Effects:
     """Beat, take over a silent reader's place, or try to read again."""
     _schedule(state, now)
-    done = reading.adopt_items(state, lapses.take_due(state, now), _LAPSE)
+    done = reading.adopt_items(
+        state, lapses.take_due(state, now), const.SOURCE_LAPSE
+    )
     if state.stopping:
         return done
     done.extend(on_reader_left(state, now))
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -15,8 +15,6 @@
 
 Effects = list[effects.Effect]
 
-_STORE = "store"
-
 
 def start_reading(state: core_state.State, now: float) -> Effects:
     """Take the place of a reader that keeps silent."""
@@ -35,7 +33,7 @@
     ]
     for topic, state_of in feed.topics.items():
         if state_of.phase is models.Phase.IDLE:
-            done.extend(read(state, topic, now, stale=False))
+            done.extend(read(state, topic, stale=False))
     return done
 
 
@@ -46,7 +44,7 @@
     for topic, topic_state in feed.topics.items():
         idle = topic_state.phase is models.Phase.IDLE
         if idle and now >= topic_state.retry_at:
-            done.extend(read(state, topic, now, stale=False))
+            done.extend(read(state, topic, stale=False))
     watched = relaying.watches_all(feed)
     if watched:
         done.extend(checking.check(state, now))
@@ -68,16 +66,15 @@
     for topic, topic_state in state.feed.topics.items():
         idle = topic_state.phase is models.Phase.IDLE
         if idle and not topic_state.revision and now >= topic_state.retry_at:
-            done.extend(read(state, topic, now, stale=True))
+            done.extend(read(state, topic, stale=True))
     return done
 
 
 def read(
-    state: core_state.State, topic: models.Topic, now: float, *, stale: bool
+    state: core_state.State, topic: models.Topic, *, stale: bool
 ) -> Effects:
     """Ask the store for all of a topic."""
     number = _next_request(state, topic, models.Phase.READING)
-    del now
     return [effects.ReadFeed(number, topic, stale, const.READ_TIMEOUT_SECONDS)]
 
 
@@ -117,7 +114,7 @@
             return _on_unavailable(state, now, topic, answer)
         case models.HistoryGone():
             done = _on_answered(state, now, topic)
-            return [*done, *read(state, topic, now, stale=False)]
+            return [*done, *read(state, topic, stale=False)]
         case models.Snapshot() | models.Changes():
             done = _on_answered(state, now, topic)
             done.extend(_adopt(state, now, topic, answer))
@@ -208,7 +205,7 @@
     topic_state.revision = max(topic_state.revision, answer.revision)
     if topic is models.Topic.ROUTES:
         version = relaying.version(state)
-        done = adoption.adopt_table(state, answer.table, _STORE)
+        done = adoption.adopt_table(state, answer.table, const.SOURCE_STORE)
         if relaying.version(state) > version:
             revision = state.directory.revision
             done.extend(relaying.tell(state, answer.table, (), revision))
@@ -219,7 +216,7 @@
             state.directory, answer.revision, answer.targets
         )
     items = lapses.hold_back(state, now, items)
-    return adopt_items(state, items, _STORE, answer.revision)
+    return adopt_items(state, items, const.SOURCE_STORE, answer.revision)
 
 
 def adopt_items(
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -8,22 +8,18 @@
 from agateshelf.core.feed import const
 from agateshelf.core.feed import messages
 from agateshelf.core.feed import models
+from agateshelf.core.membership import view
 from agateshelf.core.peers import models as peer_models
 from agateshelf.core.routes import models as route_models
 
 Effects = list[effects.Effect]
 
-_PEER = "peer"
-
 
 def neighbours(state: core_state.State) -> list[str]:
     """Return the other live entries of this entry's failure domain."""
     me = state.identity
-    return [
-        entry
-        for entry, domain in state.membership.domains.items()
-        if domain == me.failure_domain and entry != me.entry
-    ]
+    entries = view.entries_in(state, me.failure_domain)
+    return [entry for entry in entries if entry != me.entry]
 
 
 def _is_neighbour(state: core_state.State, peer: str) -> bool:
@@ -201,9 +197,9 @@
     state: core_state.State, now: float, peer: str, news: messages.FeedNews
 ) -> Effects:
     feed = state.feed
-    done = adoption.adopt_table(state, news.table, _PEER)
+    done = adoption.adopt_table(state, news.table, const.SOURCE_PEER)
     items: tuple[directory_models.Item, ...] = (*news.targets, *news.gone)
-    done.extend(adoption.adopt_targets(state, items, _PEER))
+    done.extend(adoption.adopt_targets(state, items, const.SOURCE_PEER))
     if done and not _is_neighbour(state, peer):
         done.extend(send(neighbours(state), news))
     if news.after > state.directory.revision:
--- a/src/agateshelf/core/forwarding/ending.py
+++ b/src/agateshelf/core/forwarding/ending.py
@@ -42,7 +42,7 @@
     failed = event.status >= const.FIRST_SERVER_ERROR
     if failed and call.attempts:
         return done
-    if failed and may_send_again(state, now, call):
+    if failed and may_send_again(now, call):
         return [*done, *asking.ask(state, now, call)]
     if event.status in const.PROMISES:
         refusal = refusals.target_failed(call)
@@ -97,14 +97,12 @@
 ) -> Effects:
     if call.attempts:
         return []
-    if may_send_again(state, now, call):
+    if may_send_again(now, call):
         return asking.ask(state, now, call)
     return lifecycle.give_up(state, now, call, refusals.shed(call))
 
 
-def may_send_again(
-    state: core_state.State, now: float, call: models.Call
-) -> bool:
+def may_send_again(now: float, call: models.Call) -> bool:
     """Return whether another send can double nothing and is of use."""
     if call.question is not None or call.attempts:
         return False
@@ -114,7 +112,6 @@
         return False
     if call.deadline - now < const.LEAST_ATTEMPT_SECONDS:
         return False
-    del state
     return call.route.idempotent or call.verdict is Verdict.DID_NOT_RUN
 
 
@@ -183,7 +180,7 @@
     )
     if call.attempts or call.question is not None:
         return done
-    if may_send_again(state, now, call):
+    if may_send_again(now, call):
         return [*done, *asking.ask(state, now, call)]
     refusal = refusals.target_failed(call)
     return [*done, *lifecycle.give_up(state, now, call, refusal)]
--- a/src/agateshelf/core/membership/view.py
+++ b/src/agateshelf/core/membership/view.py
@@ -47,6 +47,15 @@
     return None if member is None else member.failure_domain
 
 
+def entries_in(state: core_state.State, failure_domain: str) -> tuple[str, ...]:
+    """Return the live entries of a failure domain."""
+    return tuple(
+        entry
+        for entry, domain in state.membership.domains.items()
+        if domain == failure_domain
+    )
+
+
 def capacity_of(state: core_state.State, entry: str) -> float:
     """Return how much an entry bears, as it says; 1 is a usual core."""
     if entry == state.identity.entry:
--- a/src/agateshelf/core/routed.py
+++ b/src/agateshelf/core/routed.py
@@ -5,6 +5,7 @@
 from agateshelf.core import state as core_state
 from agateshelf.core.dispatch import asking
 from agateshelf.core.dispatch import desks
+from agateshelf.core.dispatch import homes
 from agateshelf.core.dispatch import models as dispatch_models
 from agateshelf.core.dispatch import samplers
 from agateshelf.core.dispatch import sampling
@@ -85,7 +86,7 @@
         case feed_models.ReaderLeft():
             return feed.on_reader_left(state, now)
         case events.RoutesAdopted():
-            state.dispatch.homes.clear()
+            homes.forget(state)
             return desks.open_own(state, now)
         case events.TargetsChanged():
             return [
@@ -93,7 +94,7 @@
                 *desks.on_targets_changed(state, now, event),
             ]
         case events.EntriesSeen():
-            state.dispatch.homes.clear()
+            homes.forget(state)
             return desks.on_entries(state, now)
         case events.StopDeadlinePassed():
             return lifecycle.on_stop_deadline(state, now)
--- a/src/agateshelf/daemon/operations.py
+++ b/src/agateshelf/daemon/operations.py
@@ -1,15 +1,14 @@
 """Operators' questions on their way through the reducer and back."""
 
-from collections import abc
 import dataclasses
 
 import curio
 
 from agateshelf.core import effects
 from agateshelf.core import events
+from agateshelf.daemon import posting
 
 Answer = effects.AnswerPatch | effects.AnswerHistory | effects.AnswerSurvey
-Post = abc.Callable[[events.Event], abc.Awaitable[None]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,7 +28,7 @@
         self.last += 1
         return self.last
 
-    async def ask(self, event: events.Question, post: Post) -> Answer:
+    async def ask(self, event: events.Question, post: posting.Post) -> Answer:
         """Post a question and return its answer; the core bounds the wait."""
         queue = curio.Queue()
         self.waiting[event.operation] = queue
--- a/src/agateshelf/daemon/peers/transport.py
+++ b/src/agateshelf/daemon/peers/transport.py
@@ -15,6 +15,7 @@
 
 from agateshelf.core import events
 from agateshelf.core.peers import models
+from agateshelf.daemon import posting
 from agateshelf.daemon.peers import authentication
 from agateshelf.daemon.peers import codec
 from agateshelf.daemon.peers import const
@@ -24,7 +25,6 @@
 
 _log = logbook.Logger("peers")
 
-Post = abc.Callable[[events.Event], abc.Awaitable[None]]
 Socket = zmq.Socket[bytes]
 
 
@@ -121,7 +121,7 @@
         if sock is not None:
             sock.close()
 
-    async def run(self, post: Post) -> None:
+    async def run(self, post: posting.Post) -> None:
         """Post what other entries send as events; never returns."""
         async with curio.TaskGroup(wait=None) as group:
             if self.authenticator is not None:
@@ -130,7 +130,7 @@
                 await readiness.wait_readable(self.inbound)
                 await self._receive_some(post)
 
-    async def _receive_some(self, post: Post) -> None:
+    async def _receive_some(self, post: posting.Post) -> None:
         with contextlib.suppress(zmq.Again):
             for _ in range(const.DRAIN_AT_ONCE_MESSAGES):
                 frames = self.inbound.recv_multipart(zmq.NOBLOCK)
--- a/src/agateshelf/daemon/targets/checking.py
+++ b/src/agateshelf/daemon/targets/checking.py
@@ -1,19 +1,16 @@
 """Whether a target still takes connections, after one to it was lost."""
 
-from collections import abc
-
 import curio
 
 from agateshelf.core import effects
 from agateshelf.core import events
+from agateshelf.daemon import posting
 from agateshelf.daemon.targets import connection
 
 _CHECK_SECONDS = 0.5
 
-Post = abc.Callable[[events.Event], abc.Awaitable[None]]
-
 
-async def check(effect: effects.CheckTarget, post: Post) -> None:
+async def check(effect: effects.CheckTarget, post: posting.Post) -> None:
     """Open and close a connection; post an event if it is refused."""
     try:
         async with curio.timeout_after(_CHECK_SECONDS):
--- a/src/agateshelf/daemon/targets/probing.py
+++ b/src/agateshelf/daemon/targets/probing.py
@@ -11,14 +11,13 @@
 from agateshelf.core import events
 from agateshelf.daemon import dialect as daemon_dialect
 from agateshelf.daemon import messages
+from agateshelf.daemon import posting
 from agateshelf.daemon.targets import connection
 
 _log = logbook.Logger("probes")
 
 _SERVER_ERROR = 500
 
-Post = abc.Callable[[events.Event], abc.Awaitable[None]]
-
 
 @dataclasses.dataclass(slots=True)
 class Prober:
@@ -36,12 +35,16 @@
         default_factory=dict
     )
 
-    async def probe(self, effect: effects.ProbeTarget, post: Post) -> None:
+    async def probe(
+        self, effect: effects.ProbeTarget, post: posting.Post
+    ) -> None:
         """Probe a target on a task of its own; an event follows."""
         self.wanted.add(effect.target)
         await curio.spawn(self._probe, effect, post, daemon=True)
 
-    async def _probe(self, effect: effects.ProbeTarget, post: Post) -> None:
+    async def _probe(
+        self, effect: effects.ProbeTarget, post: posting.Post
+    ) -> None:
         load: events.TargetLoad | None = None
         try:
             async with curio.timeout_after(effect.timeout):
--- a/src/agateshelf/platform/client.py
+++ b/src/agateshelf/platform/client.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from typing import Any
+from typing import TypeGuard
 from typing import TypeVar
 import urllib.parse
 
@@ -132,6 +133,13 @@
     return given
 
 
+def has_status(
+    answer: fetching.Answer | fetching.NoAnswer, status: int
+) -> TypeGuard[fetching.Answer]:
+    """Return whether there is an answer, and with this status."""
+    return isinstance(answer, fetching.Answer) and answer.status == status
+
+
 def decode(
     answer: fetching.Answer | fetching.NoAnswer, body: type[BodyT]
 ) -> BodyT | fetching.NoAnswer:
--- a/src/agateshelf/platform/feed.py
+++ b/src/agateshelf/platform/feed.py
@@ -1,6 +1,5 @@
 """Reading and watching the routes and registrations in the store."""
 
-from collections import abc
 import dataclasses
 
 import curio
@@ -9,6 +8,7 @@
 from agateshelf.core import events
 from agateshelf.core.feed import models as feed_models
 from agateshelf.daemon import fetching
+from agateshelf.daemon import posting
 from agateshelf.platform import client as platform_client
 from agateshelf.platform import const
 from agateshelf.platform import documents
@@ -19,8 +19,6 @@
 # Time beyond the wait asked for within which a watch must have answered.
 _WATCH_MARGIN_SECONDS = 1.0
 
-Post = abc.Callable[[events.Event], abc.Awaitable[None]]
-
 
 @dataclasses.dataclass(slots=True)
 class Feed:
@@ -34,11 +32,11 @@
     client: platform_client.Client
     watches: set[curio.Task] = dataclasses.field(default_factory=set)
 
-    async def read(self, effect: effects.ReadFeed, post: Post) -> None:
+    async def read(self, effect: effects.ReadFeed, post: posting.Post) -> None:
         """Read a topic; `FeedAnswered` is posted."""
         await curio.spawn(self._read, effect, post, daemon=True)
 
-    async def _read(self, effect: effects.ReadFeed, post: Post) -> None:
+    async def _read(self, effect: effects.ReadFeed, post: posting.Post) -> None:
         match effect.topic:
             case feed_models.Topic.ROUTES:
                 answer = await self._read_routes(effect)
@@ -52,7 +50,7 @@
         answer = await self.client.read_key(
             const.KEY_ROUTES, effect.timeout, stale=effect.stale
         )
-        if isinstance(answer, fetching.Answer) and answer.status == _NOT_FOUND:
+        if platform_client.has_status(answer, _NOT_FOUND):
             return feed_models.Unavailable("no routes were written yet")
         body = platform_client.decode(answer, items.ItemAnswer)
         if isinstance(body, fetching.NoAnswer):
@@ -73,12 +71,16 @@
             found.current_rev, targets=documents.targets_of(found.items)
         )
 
-    async def watch(self, effect: effects.WatchFeed, post: Post) -> None:
+    async def watch(
+        self, effect: effects.WatchFeed, post: posting.Post
+    ) -> None:
         """Wait for changes of a topic; `FeedAnswered` is posted."""
         task = await curio.spawn(self._watch, effect, post, daemon=True)
         self.watches.add(task)
 
-    async def _watch(self, effect: effects.WatchFeed, post: Post) -> None:
+    async def _watch(
+        self, effect: effects.WatchFeed, post: posting.Post
+    ) -> None:
         try:
             answer = await self._changes(effect)
         finally:
@@ -94,7 +96,7 @@
             effect.wait,
             effect.wait + _WATCH_MARGIN_SECONDS,
         )
-        if isinstance(answer, fetching.Answer) and answer.status == _GONE:
+        if platform_client.has_status(answer, _GONE):
             return feed_models.HistoryGone()
         body = platform_client.decode(answer, items.Events)
         if isinstance(body, fetching.NoAnswer):
--- a/src/agateshelf/platform/store.py
+++ b/src/agateshelf/platform/store.py
@@ -1,6 +1,5 @@
 """What the core asks of a store, asked of the platform's."""
 
-from collections import abc
 import dataclasses
 
 import curio
@@ -11,6 +10,7 @@
 from agateshelf.core import events
 from agateshelf.core import storage
 from agateshelf.daemon import fetching
+from agateshelf.daemon import posting
 from agateshelf.platform import client as platform_client
 from agateshelf.platform import const
 from agateshelf.platform import items
@@ -24,8 +24,6 @@
 _FIRST_SERVERS_ERROR = 500
 _NO_LEASE = 0
 
-Post = abc.Callable[[events.Event], abc.Awaitable[None]]
-
 
 @dataclasses.dataclass(slots=True)
 class StoreClient:
@@ -37,11 +35,11 @@
 
     client: platform_client.Client
 
-    async def ask(self, effect: effects.AskStore, post: Post) -> None:
+    async def ask(self, effect: effects.AskStore, post: posting.Post) -> None:
         """Send a request; its answer is posted as an event."""
         await curio.spawn(self._ask, effect, post, daemon=True)
 
-    async def _ask(self, effect: effects.AskStore, post: Post) -> None:
+    async def _ask(self, effect: effects.AskStore, post: posting.Post) -> None:
         answer = await self.answer_to(effect.body, effect.timeout)
         await post(events.StoreAnswered(effect.request, answer))
 
@@ -67,7 +65,7 @@
         self, body: storage.Read, timeout: float
     ) -> storage.StoreAnswer:
         answer = await self.client.read_key(body.key, timeout)
-        if _has_status(answer, _NOT_FOUND):
+        if platform_client.has_status(answer, _NOT_FOUND):
             return storage.Missing()
         item = platform_client.decode(answer, items.ItemAnswer)
         if isinstance(item, fetching.NoAnswer):
@@ -91,9 +89,9 @@
         answer = await self.client.post(
             const.PATH_CHANGE, _change_of(body), timeout
         )
-        if _has_status(answer, _NOT_FOUND):
+        if platform_client.has_status(answer, _NOT_FOUND):
             return storage.Missing()
-        if isinstance(answer, fetching.Answer) and answer.status == _UNMET:
+        if platform_client.has_status(answer, _UNMET):
             return _conflict_of(answer, body.key)
         changed = platform_client.decode(answer, items.Changed)
         if isinstance(changed, fetching.NoAnswer):
@@ -127,7 +125,7 @@
     ) -> storage.StoreAnswer:
         path = const.PATH_RENEW + body.lease
         answer = await self.client.post(path, None, timeout)
-        if _has_status(answer, _NOT_FOUND):
+        if platform_client.has_status(answer, _NOT_FOUND):
             return storage.Missing()
         renewed = platform_client.decode(answer, items.Renewed)
         if isinstance(renewed, fetching.NoAnswer):
@@ -135,12 +133,6 @@
         return storage.LeaseGranted(body.lease)
 
 
-def _has_status(
-    answer: fetching.Answer | fetching.NoAnswer, status: int
-) -> bool:
-    return isinstance(answer, fetching.Answer) and answer.status == status
-
-
 def _change_of(body: storage.Swap | storage.Delete) -> items.Change:
     row = items.Row(body.key, body.expected)
     match body:
