Give the words that two kinds of entries share once

The life of a call on a route spelled again the statuses and reasons of calls to services, the word on a request that crashes targets letter by letter, and what is told while attempts are in flight.

--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -63,8 +63,8 @@
         (
             Edit(
                 f"{_CORE}/forwarding/refusals.py",
-                "unknown_status: int = const.STATUS_BAD_GATEWAY",
-                "unknown_status: int = const.STATUS_UNAVAILABLE",
+                "unknown_status: int = outcome_const.STATUS_BAD_GATEWAY",
+                "unknown_status: int = outcome_const.STATUS_UNAVAILABLE",
             ),
         ),
     ),
--- a/src/agateshelf/core/calls/const.py
+++ b/src/agateshelf/core/calls/const.py
@@ -9,8 +9,3 @@
 )
 
 REASON_NO_SERVICE: Final = "no-such-service"
-REASON_NOT_READY: Final = "not-ready"
-REASON_NO_TARGET: Final = "no-target"
-REASON_DEADLINE: Final = "deadline-passed"
-REASON_TARGET_FAILED: Final = "target-failed"
-REASON_STOPPING: Final = "stopping"
--- a/src/agateshelf/core/calls/refusals.py
+++ b/src/agateshelf/core/calls/refusals.py
@@ -2,21 +2,17 @@
 
 from agateshelf.core.calls import const
 from agateshelf.core.calls import models
+from agateshelf.core.outcomes import const as outcome_const
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
 
-_STATUS_NOT_FOUND = 404
-_STATUS_BAD_GATEWAY = 502
-_STATUS_UNAVAILABLE = 503
-_STATUS_TIMEOUT = 504
-
 
 def deadline_passed(call: models.Call) -> outcome_models.Refusal:
     """Return the word on a call that nobody waits for any more."""
     return _refusal_of(
         call,
-        _STATUS_TIMEOUT,
-        const.REASON_DEADLINE,
+        outcome_const.STATUS_TIMEOUT,
+        outcome_const.REASON_DEADLINE,
         "The deadline passed before an answer came.",
     )
 
@@ -25,8 +21,8 @@
     """Return the word on a call left when the stop has to end."""
     return _refusal_of(
         call,
-        _STATUS_UNAVAILABLE,
-        const.REASON_STOPPING,
+        outcome_const.STATUS_UNAVAILABLE,
+        outcome_const.REASON_STOPPING,
         "This entry is stopping and could not wait for the answer.",
     )
 
@@ -35,8 +31,8 @@
     """Return the word on a call that no target is left for."""
     return _refusal_of(
         call,
-        _STATUS_UNAVAILABLE,
-        const.REASON_NO_TARGET,
+        outcome_const.STATUS_UNAVAILABLE,
+        outcome_const.REASON_NO_TARGET,
         "No target could take the request.",
     )
 
@@ -45,8 +41,8 @@
     """Return the word on a call whose last attempt failed."""
     return _refusal_of(
         call,
-        _STATUS_BAD_GATEWAY,
-        const.REASON_TARGET_FAILED,
+        outcome_const.STATUS_BAD_GATEWAY,
+        outcome_const.REASON_TARGET_FAILED,
         "The target gave no whole answer.",
     )
 
@@ -54,7 +50,7 @@
 def no_service() -> outcome_models.Refusal:
     """Return the word on a request that no service takes."""
     return outcome_models.Refusal(
-        status=_STATUS_NOT_FOUND,
+        status=outcome_const.STATUS_NOT_FOUND,
         outcome=outcome_models.Outcome.NOT_RUN,
         reason=const.REASON_NO_SERVICE,
         detail="No service has a prefix of this path.",
@@ -65,9 +61,9 @@
 def unready() -> outcome_models.Refusal:
     """Return the word of an entry that has no configuration."""
     return outcome_models.Refusal(
-        status=_STATUS_UNAVAILABLE,
+        status=outcome_const.STATUS_UNAVAILABLE,
         outcome=outcome_models.Outcome.NOT_RUN,
-        reason=const.REASON_NOT_READY,
+        reason=outcome_const.REASON_NOT_READY,
         detail="This entry has no configuration yet.",
         retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
     )
@@ -78,15 +74,8 @@
 ) -> outcome_models.Refusal:
     return outcome_models.Refusal(
         status=status,
-        outcome=_outcome_of(call),
+        outcome=rules.told(call.verdict, in_flight=bool(call.attempts)),
         reason=reason,
         detail=detail,
         retry_after=const.DEFAULT_RETRY_AFTER_SECONDS,
     )
-
-
-def _outcome_of(call: models.Call) -> outcome_models.Outcome:
-    """Return what is known of a call, counting what is still in flight."""
-    if call.attempts:
-        return outcome_models.Outcome.UNKNOWN
-    return rules.told(call.verdict)
--- a/src/agateshelf/core/forwarding/crashes.py
+++ b/src/agateshelf/core/forwarding/crashes.py
@@ -13,10 +13,10 @@
 from agateshelf.core import state as core_state
 from agateshelf.core.forwarding import const
 from agateshelf.core.forwarding import models
-from agateshelf.core.forwarding import refusals
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.poison import cuts
 from agateshelf.core.poison import models as poison_models
+from agateshelf.core.poison import refusals as poison_refusals
 from agateshelf.core.poison import suspects
 
 _FINGERPRINT_BYTES = 16
@@ -46,7 +46,7 @@
     suspect = suspects.crashes_of(state, now, fingerprint)
     if suspect is None or len(suspect.crashes) < const.POISON_CRASHES:
         return None
-    return refusals.poisonous(len(suspect.crashes), suspect.until - now)
+    return poison_refusals.poisonous(len(suspect.crashes), suspect.until - now)
 
 
 def on_failure(
--- a/src/agateshelf/core/forwarding/refusals.py
+++ b/src/agateshelf/core/forwarding/refusals.py
@@ -3,6 +3,7 @@
 from agateshelf.core.dispatch import models as dispatch_models
 from agateshelf.core.forwarding import const
 from agateshelf.core.forwarding import models
+from agateshelf.core.outcomes import const as outcome_const
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
 
@@ -12,9 +13,9 @@
 def not_ready() -> outcome_models.Refusal:
     """Return the word of an entry that knows no routes yet."""
     return outcome_models.Refusal(
-        const.STATUS_UNAVAILABLE,
+        outcome_const.STATUS_UNAVAILABLE,
         _NOT_RUN,
-        const.REASON_NOT_READY,
+        outcome_const.REASON_NOT_READY,
         "This entry has read no routes yet.",
         const.NOT_READY_RETRY_SECONDS,
     )
@@ -23,7 +24,7 @@
 def no_route() -> outcome_models.Refusal:
     """Return the word on a request that no route takes."""
     return outcome_models.Refusal(
-        const.STATUS_NOT_FOUND,
+        outcome_const.STATUS_NOT_FOUND,
         _NOT_RUN,
         const.REASON_NO_ROUTE,
         "No route has this host and a prefix of this path.",
@@ -31,21 +32,9 @@
     )
 
 
-def poisonous(crashes: int, retry_after: float) -> outcome_models.Refusal:
-    """Return the word on a request that crashed too many targets."""
-    return outcome_models.Refusal(
-        const.STATUS_UNAVAILABLE,
-        _NOT_RUN,
-        const.REASON_POISONOUS,
-        f"{crashes} targets were lost while they ran this request. "
-        "This copy was not run; earlier ones may have been.",
-        retry_after,
-    )
-
-
 _DISPATCH_WORDS = {
     dispatch_models.Refusal.NO_TARGET: (
-        const.REASON_NO_TARGET,
+        outcome_const.REASON_NO_TARGET,
         "The service has no target.",
     ),
     dispatch_models.Refusal.TOO_LATE: (
@@ -75,7 +64,7 @@
     """Return the word on a call whose last attempt failed."""
     return _word(
         call,
-        const.REASON_TARGET_FAILED,
+        outcome_const.REASON_TARGET_FAILED,
         "The target gave no whole answer.",
         const.RETRY_SECONDS,
     )
@@ -95,10 +84,10 @@
     """Return the word on a call that nobody waits for any more."""
     return _word(
         call,
-        const.REASON_DEADLINE,
+        outcome_const.REASON_DEADLINE,
         "The time for an answer is over.",
         const.RETRY_SECONDS,
-        const.STATUS_TIMEOUT,
+        outcome_const.STATUS_TIMEOUT,
     )
 
 
@@ -106,7 +95,7 @@
     """Return the word on a call left when the entry has to stop."""
     return _word(
         call,
-        const.REASON_STOPPING,
+        outcome_const.REASON_STOPPING,
         "This entry is stopping and could not wait for the answer.",
         const.RETRY_SECONDS,
     )
@@ -117,13 +106,11 @@
     reason: str,
     detail: str,
     retry_after: float,
-    unknown_status: int = const.STATUS_BAD_GATEWAY,
+    unknown_status: int = outcome_const.STATUS_BAD_GATEWAY,
 ) -> outcome_models.Refusal:
     """Return a refusal whose status tells the truth about the request."""
-    outcome = rules.told(call.verdict)
-    if call.attempts:
-        outcome = outcome_models.Outcome.UNKNOWN
+    outcome = rules.told(call.verdict, in_flight=bool(call.attempts))
     status = unknown_status
     if outcome is outcome_models.Outcome.NOT_RUN:
-        status = const.STATUS_UNAVAILABLE
+        status = outcome_const.STATUS_UNAVAILABLE
     return outcome_models.Refusal(status, outcome, reason, detail, retry_after)
--- /dev/null
+++ b/src/agateshelf/core/outcomes/const.py
@@ -0,0 +1,14 @@
+"""Statuses and reasons of final words that several parts give."""
+
+from typing import Final
+
+STATUS_NOT_FOUND: Final = 404
+STATUS_BAD_GATEWAY: Final = 502
+STATUS_UNAVAILABLE: Final = 503
+STATUS_TIMEOUT: Final = 504
+
+REASON_NOT_READY: Final = "not-ready"
+REASON_NO_TARGET: Final = "no-target"
+REASON_DEADLINE: Final = "deadline-passed"
+REASON_TARGET_FAILED: Final = "target-failed"
+REASON_STOPPING: Final = "stopping"
--- a/src/agateshelf/core/outcomes/rules.py
+++ b/src/agateshelf/core/outcomes/rules.py
@@ -72,8 +72,15 @@
     return False
 
 
-def told(verdict: models.Verdict) -> models.Outcome:
-    """Return what a caller is told when no answer can be given."""
+def told(verdict: models.Verdict, *, in_flight: bool = False) -> models.Outcome:
+    """Return what a caller is told when no answer can be given.
+
+    Args:
+        verdict: What the attempts that have ended say.
+        in_flight: Whether others are under way, which may run yet.
+    """
+    if in_flight:
+        return models.Outcome.UNKNOWN
     if verdict is models.Verdict.DID_NOT_RUN:
         return models.Outcome.NOT_RUN
     return models.Outcome.UNKNOWN
--- a/src/agateshelf/core/poison/evidence.py
+++ b/src/agateshelf/core/poison/evidence.py
@@ -12,17 +12,18 @@
 from agateshelf.core import events
 from agateshelf.core import state as core_state
 from agateshelf.core.calls import models as call_models
+from agateshelf.core.outcomes import const as outcome_const
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import rules
 from agateshelf.core.poison import const
 from agateshelf.core.poison import cuts
 from agateshelf.core.poison import models
+from agateshelf.core.poison import refusals
 from agateshelf.core.poison import suspects
 from agateshelf.core.routing import groups
 
 _FINGERPRINT_BYTES = 16
 _LENGTH_BYTES = 4
-_STATUS_UNAVAILABLE = 503
 _CUT_KINDS = frozenset(
     {
         outcome_models.FailureKind.RESET,
@@ -54,16 +55,7 @@
     suspect = suspects.crashes_of(state, now, fingerprint_of(call))
     if suspect is None or len(suspect.crashes) < call.service.poison_crashes:
         return None
-    return outcome_models.Refusal(
-        status=_STATUS_UNAVAILABLE,
-        outcome=outcome_models.Outcome.NOT_RUN,
-        reason=const.REASON_POISONOUS,
-        detail=(
-            f"{len(suspect.crashes)} targets were lost while they ran this "
-            "request. This copy was not run; earlier ones may have been."
-        ),
-        retry_after=suspect.until - now,
-    )
+    return refusals.poisonous(len(suspect.crashes), suspect.until - now)
 
 
 def may_retry(call: call_models.Call) -> bool:
@@ -112,7 +104,7 @@
     """Clear a request that a target lived to answer, unless it shed it."""
     if not state.poison.suspects and not state.poison.cuts:
         return []
-    if event.status == _STATUS_UNAVAILABLE:
+    if event.status == outcome_const.STATUS_UNAVAILABLE:
         return []
     if rules.is_refusal(call.service, event.headers):
         return []
