--- a/src/agateshelf_standins/system.py
+++ b/src/agateshelf_standins/system.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -30,6 +31,8 @@
 PLATFORM_HEADER = "Platform-Writer"
 STOP_SECONDS = 15.0
 _POLL_SECONDS = 0.02
+# Linux gives outgoing connections 32768 and above by default.
+_PORTS = range(20_000, 32_000)
 
 
 class StartError(Exception):
@@ -294,7 +297,16 @@
 
 
 def free_port() -> int:
-    """Return a port that nothing listens on now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that nothing listens on now.
+
+    It lies below the ports that the kernel gives to outgoing connections: one
+    of these could take it before the process that it is meant for does.
+    """
+    while True:
+        port = secrets.choice(_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
