Log each step by which a crash is recognised, counted and told

What callers saw: a request that ended its targets was sent on and on. The counters poison.crashes and poison.cleared name neither request nor target nor entry, so that detection, dissemination and enforcement can't be told apart from outside. Each step is now a log line with the request's fingerprint, which is the same for all repeats. No decision changes.

--- a/src/agateshelf/core/forwarding/crashes.py
+++ b/src/agateshelf/core/forwarding/crashes.py
@@ -71,7 +71,19 @@
             attempt.target, call.fingerprint, crash, now
         ),
     )
-    return [effects.CheckTarget(attempt.target, registration.address)]
+    return [
+        effects.LogEvent(
+            "crash.possible",
+            call.request_id,
+            (
+                ("fingerprint", suspects.short(call.fingerprint)),
+                ("target", attempt.target),
+                ("kind", event.kind.value),
+                ("born", registration.born),
+            ),
+        ),
+        effects.CheckTarget(attempt.target, registration.address),
+    ]
 
 
 def on_answered(
--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -12,6 +12,7 @@
 from agateshelf.core.forwarding import models
 from agateshelf.core.forwarding import refusals
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.poison import suspects
 from agateshelf.core.routes import matching
 from agateshelf.core.routes import models as route_models
 from agateshelf.core.routes import splitting
@@ -31,7 +32,8 @@
     fingerprint = crashes.fingerprint_of(event)
     poisonous = crashes.refusal_of(state, now, fingerprint)
     if poisonous is not None:
-        return _refuse_early(state, event, poisonous)
+        inputs = ("fingerprint", suspects.short(fingerprint))
+        return _refuse_early(state, event, poisonous, inputs)
     call = _create_call(state, now, event, route, fingerprint)
     state.forwarding.calls[call.number] = call
     timers.schedule(
@@ -44,12 +46,15 @@
     state: core_state.State,
     event: events.RequestArrived,
     refusal: outcome_models.Refusal,
+    *inputs: tuple[str, str | float],
 ) -> Effects:
     table = state.routes.table
     version = 0 if table is None else table.version
     return [
         effects.Refuse(event.call, refusal),
-        _log_event_of(event.request_id, refusal, ("routes_version", version)),
+        _log_event_of(
+            event.request_id, refusal, ("routes_version", version), *inputs
+        ),
     ]
 
 
--- a/src/agateshelf/core/poison/lost_connections.py
+++ b/src/agateshelf/core/poison/lost_connections.py
@@ -66,6 +66,11 @@
     """Count a lost connection as a crash and notify the other entries."""
     suspects.add_crash(state, now, lost.fingerprint, lost.crash)
     message = messages.CrashSeen(lost.fingerprint, lost.crash)
-    emitted: list[effects.Effect] = [effects.Count("poison.crashes")]
+    emitted: list[effects.Effect] = [
+        effects.Count("poison.crashes"),
+        suspects.log_event_of(
+            state, now, "crash.counted", lost.fingerprint, lost.crash
+        ),
+    ]
     emitted.extend(suspects.broadcast(state, now, message))
     return emitted
--- a/src/agateshelf/core/poison/suspects.py
+++ b/src/agateshelf/core/poison/suspects.py
@@ -7,6 +7,8 @@
 from agateshelf.core.poison import messages
 from agateshelf.core.poison import models
 
+_LOGGED_FINGERPRINT_BYTES = 4
+
 
 def find(
     state: core_state.State, now: float, fingerprint: bytes
@@ -44,7 +46,12 @@
     if state.poison.suspects.pop(fingerprint, None) is None:
         return []
     message = messages.SuspectCleared(fingerprint)
-    emitted: list[effects.Effect] = [effects.Count("poison.cleared")]
+    emitted: list[effects.Effect] = [
+        effects.Count("poison.cleared"),
+        effects.LogEvent(
+            "crash.cleared", details=(("fingerprint", short(fingerprint)),)
+        ),
+    ]
     emitted.extend(broadcast(state, now, message))
     return emitted
 
@@ -57,12 +64,41 @@
     """Add a crash, or remove a suspect, as reported by another entry."""
     match message:
         case messages.CrashSeen(fingerprint, crash):
-            add_crash(state, now, fingerprint, crash)
+            if add_crash(state, now, fingerprint, crash):
+                return [
+                    log_event_of(
+                        state, now, "crash.reported", fingerprint, crash
+                    )
+                ]
         case messages.SuspectCleared(fingerprint):
             state.poison.suspects.pop(fingerprint, None)
     return []
 
 
+def short(fingerprint: bytes) -> str:
+    """Return the start of a fingerprint, which joins log lines."""
+    return fingerprint[:_LOGGED_FINGERPRINT_BYTES].hex()
+
+
+def log_event_of(
+    state: core_state.State,
+    now: float,
+    name: str,
+    fingerprint: bytes,
+    crash: str,
+) -> effects.LogEvent:
+    """Return the log event of a crash, with the number known so far."""
+    suspect = find(state, now, fingerprint)
+    return effects.LogEvent(
+        name,
+        details=(
+            ("fingerprint", short(fingerprint)),
+            ("crash", crash),
+            ("crashes", 0 if suspect is None else len(suspect.crashes)),
+        ),
+    )
+
+
 def broadcast(
     state: core_state.State, now: float, message: peer_models.PeerMessage
 ) -> list[effects.Effect]:
@@ -72,8 +108,16 @@
         for entry in state.membership.failure_domains
         if entry != state.identity.entry
     )
-    if not peers or not _take_token(state.poison, now):
+    if not peers:
         return []
+    if not _take_token(state.poison, now):
+        return [
+            effects.Count("poison.unsent"),
+            effects.LogEvent(
+                "crash.unsent",
+                details=(("message", type(message).__name__),),
+            ),
+        ]
     return [effects.SendToPeers(peers, message)]
 
 
