Tests that fail: a request that ends its targets, repeated through all entries

Virtual time, three entries, eight targets, the marked request ten times a second for 20 s. Late: sent more than 3 s after its third crash; three are allowed.

--- /dev/null
+++ b/tests/core/crash_fleet.py
@@ -0,0 +1,300 @@
+"""Simulates targets that end under a marked request, and its callers.
+
+Builds on `routed_fleet`: each target is a process that can end in several ways
+and start again, and callers repeat the marked request through all entries.
+"""
+
+import collections
+import dataclasses
+import enum
+
+from tests.core import routed_fleet
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core import state as core_state
+from agateshelf.core.directory import models as directory_models
+from agateshelf.core.forwarding import crashes
+from agateshelf.core.membership import models as membership_models
+from agateshelf.core.poison import lost_connections
+from agateshelf.core.poison import messages
+from agateshelf.core.poison import models as poison_models
+
+MARKED_PATH = "/vin/marked"
+# The platform's rule: later than LATE_SECONDS after a request has ended its
+# third target, it is sent at most MAX_LATE_SENDS times, by all entries.
+LATE_SECONDS = 3.0
+MAX_LATE_SENDS = 3
+HEARTBEAT_SECONDS = 1.5
+CONNECT_SECONDS = 0.001
+RESET_SECONDS = 0.01
+CHECK_TIMEOUT_SECONDS = 0.5
+
+
+class Ending(enum.Enum):
+    """What is seen of a target that ends.
+
+    Attributes:
+        REFUSED: Connections are reset, and new ones refused for 2 s.
+        SILENT: Nothing is answered; it is back after 6 s.
+        REBORN: Connections are reset; it is back after 50 ms under its
+            identifier, and accepts connections all the while.
+        TAKEN_OVER: Connections are reset; its registration goes after 5 ms, and
+            another target has its address.
+        GONE_SILENT: Nothing is answered, and it never comes back.
+    """
+
+    REFUSED = "refused"
+    SILENT = "silent"
+    REBORN = "reborn"
+    TAKEN_OVER = "taken over"
+    GONE_SILENT = "gone silent"
+
+
+_DOWN_SECONDS = {
+    Ending.REFUSED: 2.0,
+    Ending.SILENT: 6.0,
+    Ending.REBORN: 0.05,
+    Ending.TAKEN_OVER: 0.005,
+}
+_SILENT = (Ending.SILENT, Ending.GONE_SILENT)
+
+
+@dataclasses.dataclass
+class Process:
+    """A target's process.
+
+    Attributes:
+        id: Identifier under which it is registered.
+        address: Address it listens on.
+        born: Start of the process in Unix milliseconds.
+        alive: Whether it serves requests.
+        generation: Number of processes before it at this address.
+    """
+
+    id: str
+    address: str
+    born: int
+    alive: bool = True
+    generation: int = 0
+
+
+class CrashFleet(routed_fleet.RoutedFleet):
+    """A fleet whose targets end when they run the marked request.
+
+    Attributes:
+        ending: How targets end.
+        processes: The current process at each address.
+        marked_calls: Numbers of the calls that carry the marked request.
+        marked_sends: Time, entry and target of each send of it.
+        crashes: Time and process of each end of a target.
+        messages: Number of messages between entries, by type.
+        failing_status: Status that every third send of the marked request is
+            answered with, as by a failing target; 0 for none.
+        loses_answers: Whether targets survive the marked request, and only its
+            answers are lost.
+    """
+
+    def __init__(self, ending, domains=("boston",) * 3, targets=8, seed=1):
+        super().__init__(domains, seed)
+        self.ending = ending
+        self.processes = {}
+        self.marked_calls = {}
+        self.marked_sends = []
+        self.crashes = []
+        self.messages = collections.Counter()
+        self.incarnations = collections.Counter()
+        self.failing_status = 0
+        self.loses_answers = False
+        self.table = routed_fleet.create_table(
+            1, routed_fleet.create_route(max_attempts=3)
+        )
+        for index in range(targets):
+            process = Process(f"t{index}", f"10.9.0.{index}:80", 1000)
+            self.processes[process.address] = process
+            self.items[process.id] = self._registration(process)
+        self.start()
+        self.run_for(8.0)
+
+    @property
+    def late_sends(self):
+        """Sends of the marked request later than allowed without limit."""
+        if len(self.crashes) < 3:
+            return []
+        late_from = self.crashes[2][0] + LATE_SECONDS
+        return [send for send in self.marked_sends if send[0] > late_from]
+
+    def _registration(self, process):
+        return routed_fleet.create_target(
+            process.id, address=process.address, born=process.born
+        )
+
+    def repeat_marked(self, seconds, pause=0.1, names=None):
+        """Send the marked request through one entry after another."""
+        names = names or list(self.nodes)
+        for number in range(int(seconds / pause)):
+            name = names[number % len(names)]
+            self.at(self.now + number * pause, self.send_marked, name)
+        self.run_for(seconds)
+
+    def send_marked(self, name, **changes):
+        """Send the marked request to an entry, unless it is down."""
+        if not self.nodes[name].alive:
+            return None
+        call = next(self.calls)
+        self.marked_calls[call] = name
+        values = {
+            "call": call,
+            "caller": "desk",
+            "method": "GET",
+            "path": MARKED_PATH,
+            "host": "recall.example",
+            "timeout": 1.0,
+            "request_id": f"marked{call}",
+        }
+        event = events.RequestArrived(**{**values, **changes})
+        self.post(self.nodes[name], event)
+        return call
+
+    def apply(self, node, effect):
+        match effect:
+            case effects.CheckTarget():
+                self._check(node, effect)
+            case effects.SendToPeers():
+                name = type(effect.message).__name__
+                self.messages[name] += len(effect.peers)
+                super().apply(node, effect)
+            case effects.CancelAttempt():
+                pass
+            case _:
+                super().apply(node, effect)
+
+    def _check(self, node, effect):
+        process = self.processes.get(effect.address)
+        if process is None or process.alive:
+            return
+        if self.ending is Ending.REFUSED:
+            refused = events.TargetRefused(effect.target)
+            self.at(self.now + CONNECT_SECONDS, self.post, node, refused)
+
+    def _start(self, node, effect):
+        process = self.processes[effect.address]
+        is_marked = effect.call in self.marked_calls
+        if is_marked:
+            self.marked_sends.append((self.now, node.name, effect.target))
+        if not process.alive:
+            self._fail_at_dead(node, effect)
+        elif process.id != effect.target:
+            end = events.AttemptAnswered(
+                effect.attempt, 421, not_run=True, misdirected=True
+            )
+            self.at(self.now + RESET_SECONDS, self.post, node, end)
+        elif is_marked and self._is_answered_with_error():
+            end = events.AttemptAnswered(effect.attempt, self.failing_status)
+            self.at(self.now + RESET_SECONDS, self.post, node, end)
+        elif is_marked:
+            if not self.loses_answers:
+                self._crash(process)
+            if self.ending not in _SILENT:
+                end = routed_fleet.failed(effect.attempt, routed_fleet.RESET)
+                self.at(self.now + RESET_SECONDS, self.post, node, end)
+        else:
+            super()._start(node, effect)
+
+    def _is_answered_with_error(self):
+        return self.failing_status and len(self.marked_sends) % 3 == 0
+
+    def _fail_at_dead(self, node, effect):
+        if self.ending in _SILENT:
+            return
+        end = routed_fleet.failed(
+            effect.attempt, routed_fleet.CONNECT, sent=False
+        )
+        self.at(self.now + CONNECT_SECONDS, self.post, node, end)
+
+    def _crash(self, process):
+        self.crashes.append((self.now, dataclasses.replace(process)))
+        # A target that is back at once accepts connections all the while.
+        process.alive = self.ending is Ending.REBORN
+        down = _DOWN_SECONDS.get(self.ending)
+        if self.ending in _SILENT:
+            lapse = self.now + 3 * HEARTBEAT_SECONDS
+            self.at(lapse, self._lapse, process.id, process.born)
+        if down is not None:
+            self.at(self.now + down, self._start_again, process)
+
+    def _lapse(self, target, born):
+        known = self.items.get(target)
+        if known is not None and known.born == born:
+            self.change(directory_models.Removal(target, 0))
+
+    def _start_again(self, process):
+        process.alive = True
+        process.generation += 1
+        process.born = 1000 + round(self.now * 1000)
+        if self.ending is Ending.TAKEN_OVER:
+            self.change(directory_models.Removal(process.id, 0))
+            process.id = f"{process.id.partition('-')[0]}-{process.generation}"
+        self.change(self._registration(process))
+
+    def kill(self, name):
+        """Kill an entry."""
+        self.nodes[name].alive = False
+
+    def restart(self, name):
+        """Start an entry again, which has forgotten everything."""
+        node = self.nodes[name]
+        node.alive = True
+        self.incarnations[name] += 1
+        identity = node.state.identity
+        seed = 1000 * self.incarnations[name] + len(self.marked_sends)
+        node.state = core_state.create_state(identity, seed, has_services=False)
+        contacts = tuple(
+            membership_models.Seed(other, other)
+            for other in list(self.nodes)[:3]
+        )
+        incarnation = 1 + self.incarnations[name]
+        started = events.Started(
+            incarnation, name, contacts, has_store=False, has_feed=True
+        )
+        self.post(node, started)
+
+    def add(self, name, domain="boston"):
+        """Add an entry."""
+        identity = core_state.Identity(name, domain)
+        state = core_state.create_state(identity, 77, has_services=False)
+        self.nodes[name] = routed_fleet.Node(name, state)
+        self.restart(name)
+
+    def _marked_fingerprint(self):
+        event = events.RequestArrived(
+            0, "desk", "GET", MARKED_PATH, host="recall.example"
+        )
+        return crashes.fingerprint_of(event)
+
+    def withholds_marked(self, node):
+        """Return whether an entry refuses the marked request."""
+        fingerprint = self._marked_fingerprint()
+        return crashes.refusal_of(node.state, self.now, fingerprint) is not None
+
+    def withhold_marked(self):
+        """Tell all entries, as by a peer, that the request ended targets."""
+        for node in self.nodes.values():
+            for number in range(2):
+                message = messages.CrashSeen(
+                    self._marked_fingerprint(), f"told-{number}"
+                )
+                event = events.PeerMessageReceived("10.0.0.99:7000", message)
+                self.post(node, event)
+
+    def report_other_crashes(self, name, count):
+        """Let an entry count crashes of other requests."""
+        node = self.nodes[name]
+        for number in range(count):
+            lost = poison_models.LostConnection(
+                "t-other", b"other%d" % number, f"other-{number}", self.now
+            )
+            for effect in lost_connections.count_crash(
+                node.state, self.now, lost
+            ):
+                self.apply(node, effect)
--- /dev/null
+++ b/tests/core/poison/test_crashing_requests_over_entries.py
@@ -0,0 +1,109 @@
+"""A request that ends its targets, repeated through all entries.
+
+Guards against incident BUDGET: crashes that were not recognised, did not reach
+all entries, or were not looked at when the request was sent.
+"""
+
+import pytest
+from tests.core import crash_fleet
+
+Ending = crash_fleet.Ending
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+def test_a_request_is_withheld_however_its_targets_end(ending):
+    fleet = crash_fleet.CrashFleet(ending)
+    fleet.repeat_marked(20.0)
+    assert len(fleet.late_sends) <= crash_fleet.MAX_LATE_SENDS
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+def test_entries_that_restart_still_withhold_the_request(ending):
+    fleet = crash_fleet.CrashFleet(ending)
+    for index, name in enumerate(fleet.nodes):
+        for at in (2.0 + index, 6.0 + index, 10.0 + index):
+            fleet.at(fleet.now + at, fleet.kill, name)
+            fleet.at(fleet.now + at + 0.5, fleet.restart, name)
+    fleet.repeat_marked(20.0)
+    assert len(fleet.late_sends) <= crash_fleet.MAX_LATE_SENDS
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+def test_an_entry_that_was_cut_off_withholds_the_request(ending):
+    fleet = crash_fleet.CrashFleet(ending)
+    names = list(fleet.nodes)
+    away = fleet.nodes[names[2]]
+    away.partitioned = True
+    fleet.run_for(10.0)
+    fleet.repeat_marked(8.0, names=names[:2])
+    away.partitioned = False
+    fleet.run_for(crash_fleet.LATE_SECONDS)
+    before = len(fleet.late_sends)
+    fleet.repeat_marked(5.0, names=names[2:])
+    assert len(fleet.late_sends) - before <= crash_fleet.MAX_LATE_SENDS
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+def test_an_entry_that_joins_withholds_the_request(ending):
+    fleet = crash_fleet.CrashFleet(ending)
+    fleet.repeat_marked(8.0)
+    fleet.add("10.0.0.9:7000")
+    fleet.run_for(crash_fleet.LATE_SECONDS)
+    before = len(fleet.late_sends)
+    fleet.repeat_marked(5.0, names=["10.0.0.9:7000"])
+    assert len(fleet.late_sends) - before <= crash_fleet.MAX_LATE_SENDS
+
+
+def test_a_waiting_call_is_refused_once_its_request_is_withheld():
+    fleet = crash_fleet.CrashFleet(Ending.REFUSED, targets=3)
+    # Fill all targets, so that the marked calls wait.
+    fleet.run_seconds = 4.0
+    for _ in range(12):
+        fleet.request(timeout=6.0)
+    waiting = [fleet.send_marked(name, timeout=6.0) for name in fleet.nodes]
+    fleet.run_for(0.1)
+    fleet.withhold_marked()
+    fleet.run_for(0.5)
+    for call in waiting:
+        kind, refusal = fleet.response(call)
+        assert kind == "refused"
+        assert refusal.status == 503
+    assert not fleet.marked_sends
+
+
+@pytest.mark.parametrize("status", [500, 503])
+def test_a_server_error_does_not_clear_a_crashing_request(status):
+    fleet = crash_fleet.CrashFleet(Ending.REFUSED)
+    fleet.failing_status = status
+    fleet.repeat_marked(20.0)
+    assert len(fleet.late_sends) <= crash_fleet.MAX_LATE_SENDS
+
+
+def test_many_crashes_at_once_reach_all_entries():
+    fleet = crash_fleet.CrashFleet(Ending.REFUSED)
+    names = list(fleet.nodes)
+    fleet.report_other_crashes(names[0], 60)
+    fleet.repeat_marked(1.0, names=names[:1])
+    fleet.run_for(crash_fleet.LATE_SECONDS)
+    before = len(fleet.marked_sends)
+    fleet.repeat_marked(2.0, names=names[1:])
+    assert len(fleet.marked_sends) == before
+
+
+def test_copies_of_a_request_on_one_target_count_one_crash():
+    fleet = crash_fleet.CrashFleet(Ending.REFUSED, targets=1)
+    for name in fleet.nodes:
+        fleet.send_marked(name)
+    fleet.run_for(1.0)
+    assert len(fleet.crashes) == 1
+    for node in fleet.nodes.values():
+        assert not fleet.withholds_marked(node)
+
+
+def test_a_request_that_loses_answers_is_not_withheld():
+    fleet = crash_fleet.CrashFleet(Ending.REFUSED)
+    fleet.loses_answers = True
+    fleet.repeat_marked(6.0)
+    assert len(fleet.marked_sends) > 50
+    for node in fleet.nodes.values():
+        assert not fleet.withholds_marked(node)
