--- a/src/agateshelf/daemon/peers/const.py
+++ b/src/agateshelf/daemon/peers/const.py
@@ -13,7 +13,9 @@
 MAX_ADDRESSES: Final = 8192
 RECEIVE_BATCH_MESSAGES: Final = 64
 RECONNECT_MILLISECONDS: Final = 100
-RECONNECT_MAX_MILLISECONDS: Final = 5000
+# An entry that restarts or was cut off must soon get what it missed.
+RECONNECT_MAX_MILLISECONDS: Final = 1000
+CONNECT_TIMEOUT_MILLISECONDS: Final = 1000
 HANDSHAKE_MILLISECONDS: Final = 5000
 # A connection with data unacknowledged for this long is closed and reopened.
 UNACKNOWLEDGED_MILLISECONDS: Final = 2000
--- a/src/agateshelf/daemon/peers/transport.py
+++ b/src/agateshelf/daemon/peers/transport.py
@@ -224,6 +224,7 @@
         sock.setsockopt(zmq.CURVE_SERVERKEY, cfg.public_key.encode())
     sock.setsockopt(zmq.RECONNECT_IVL, const.RECONNECT_MILLISECONDS)
     sock.setsockopt(zmq.RECONNECT_IVL_MAX, const.RECONNECT_MAX_MILLISECONDS)
+    sock.setsockopt(zmq.CONNECT_TIMEOUT, const.CONNECT_TIMEOUT_MILLISECONDS)
     try:
         sock.connect(f"tcp://{address}")
     except zmq.ZMQError as exc:
--- a/tests/core/membership/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -71,6 +71,22 @@
     assert_all_agree(fleet, fleet.nodes)
 
 
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_the_sides_of_a_healed_partition_soon_meet(seed):
+    # Guards against incident BUDGET: what all entries must know reached the
+    # other side only some rounds after the partition had healed.
+    fleet = fleets.create_fleet(4, seed=seed)
+    fleet.run_for(SETTLED_SECONDS)
+    side = {"entry-0", "entry-1"}
+    fleet.partitioned = lambda a, b: (a in side) != (b in side)
+    # The entries started together, and every fifth round of theirs is over.
+    fleet.run_for(31.5)
+    assert set(live_views(fleet)["entry-0"]) == side
+    fleet.partitioned = lambda _a, _b: False
+    fleet.run_for(1.5)
+    assert set(live_views(fleet)["entry-0"]) != side
+
+
 def test_a_paused_entry_comes_back(fleet):
     node = fleet.nodes["entry-3"]
     fleet.pause(node)
