Withhold a crashing request at every send, by crashes that all entries share

Three gaps in one chain, so that what one entry saw did not decide what any entry sent: - A crash counted only if one check, made at once, was refused. A target that was back at once, fell silent, or whose address was taken accepted the check or let it time out. What the platform said of it later was not used. - A crash was told once, within five messages a second, to the entries live then. Entries that were away or started anew never heard of it, and a server error or an answer from a target that survives wiped the count everywhere. - The count was looked at on arrival alone, not for calls that waited, were retried or hedged. Class of fault: an at-most-N rule kept by soft state that is neither durable nor reconciled, and checked at admission instead of at the action it limits.

Change, once for both kinds of entries (core/poison): - sends: each attempt passes one gate when it is sent; waiting calls are refused as soon as their request is withheld. - evidence: losses and sends in flight are kept, and count once their target's process is known to have ended: refused (checked again after 20 ms to 1 s), registered with a later start, its address taken, or removed and silent. A silent target is suspected for 8 s unless this entry gets no answers at all. - records: a crash is named by the target's process, so that copies of a request on one process count one crash, and only moves to a higher status, so that reports may come in any order. - replication: a new crash is broadcast; reports over the limit wait. Pings and acks carry a digest; where it differs, each side sends what it knows.

--- a/src/agateshelf/core/calls/completion.py
+++ b/src/agateshelf/core/calls/completion.py
@@ -10,7 +10,7 @@
 from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import verdicts
-from agateshelf.core.poison import crashes as poison
+from agateshelf.core.poison import sends
 from agateshelf.core.retries import policy as retry_policy
 from agateshelf.core.routing import classification
 from agateshelf.core.routing import models as routing_models
@@ -35,11 +35,26 @@
         event.status, event.headers, event.body
     )
     admission.on_answer(state, now, attempt, event)
-    emitted = poison.on_answer(state, now, call, event)
+    emitted = _record_survival(state, now, call, event)
     emitted.extend(_decide(state, now, call, attempt, event))
     return emitted
 
 
+def _record_survival(
+    state: core_state.State,
+    now: float,
+    call: models.Call,
+    event: events.AttemptAnswered,
+) -> list[effects.Effect]:
+    """Record whether the target survived the request."""
+    if event.streaming:
+        return []
+    refused = verdicts.is_refusal(call.service, event.headers)
+    return sends.on_answered(
+        state, now, event.attempt, event.status, not_run=refused
+    )
+
+
 def _decide(
     state: core_state.State,
     now: float,
@@ -91,6 +106,8 @@
     state: core_state.State, call: models.Call, attempt: models.Attempt
 ) -> list[effects.Effect]:
     emitted: list[effects.Effect] = []
+    for number in call.attempts:
+        sends.forget(state, number)
     emitted.extend(lifecycle.cancel_attempts(state, call))
     emitted.append(effects.DeliverAnswer(call.number, attempt.number))
     emitted.extend(lifecycle.end_call(state, call))
@@ -105,6 +122,7 @@
     emitted: list[effects.Effect] = []
     for number in others:
         lifecycle.end_attempt(state, number)
+        sends.forget(state, number)
         emitted.append(effects.CancelAttempt(number))
     emitted.append(effects.DeliverAnswer(call.number, attempt.number))
     return emitted
@@ -114,12 +132,12 @@
     state: core_state.State, now: float, event: events.StreamEnded
 ) -> list[effects.Effect]:
     """Remove a call whose streamed response has ended, complete or not."""
-    del now
+    crash_effects = sends.on_stream_ended(state, now, event)
     ended = lifecycle.end_attempt(state, event.attempt)
     if ended is None:
-        return []
+        return crash_effects
     call, _ = ended
-    emitted = lifecycle.end_call(state, call)
+    emitted = [*crash_effects, *lifecycle.end_call(state, call)]
     if not event.whole:
         emitted.insert(0, effects.Count("answers.cut"))
     return emitted
@@ -140,14 +158,19 @@
         return []
     call, attempt = ended
     admission.on_failure(state, attempt, event)
-    emitted = poison.on_failure(state, now, call, attempt, event)
+    emitted = sends.on_failed(state, now, event)
+    if sends.is_loss(event):
+        call.lost_connections += 1
     verdict = verdicts.verdict_of_failure(
         event.kind, any_byte_sent=event.any_byte_sent
     )
     _update_verdict(call, verdict)
     if call.attempts:
         return emitted
-    if poison.may_retry(call) and retry_policy.may_retry(state, now, call):
+    crash_limit = call.service.poison_crashes
+    if call.lost_connections < crash_limit and retry_policy.may_retry(
+        state, now, call
+    ):
         emitted.extend(lifecycle.start_retry(state, now, call))
     else:
         emitted.extend(
--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -14,7 +14,11 @@
 from agateshelf.core.hedging import policy as hedging
 from agateshelf.core.limits import admission
 from agateshelf.core.outcomes import models as outcome_models
-from agateshelf.core.poison import crashes as poison
+from agateshelf.core.outcomes import verdicts
+from agateshelf.core.poison import fingerprints
+from agateshelf.core.poison import models as poison_models
+from agateshelf.core.poison import refusals as poison_refusals
+from agateshelf.core.poison import sends
 from agateshelf.core.retries import budget
 from agateshelf.core.routing import models as routing_models
 from agateshelf.core.routing import placing
@@ -34,13 +38,41 @@
     timers.schedule(
         state.timers, call.deadline, events.DeadlinePassed(call.number)
     )
-    refusal = poison.refusal_of(state, now, call)
+    refusal = poison_refusals.refusal_of(
+        state, now, fingerprint_of(call), service.poison_crashes
+    )
     if refusal is not None:
         return give_up(state, call, refusal)
     admission.admit(state, now, call)
     return []
 
 
+def fingerprint_of(call: models.Call) -> bytes:
+    """Return the digest by which repeats of a request are recognised."""
+    parts = (call.service.name, call.caller, call.method, call.path)
+    return fingerprints.fingerprint_of(parts, call.body_digest)
+
+
+def on_crashes_changed(
+    state: core_state.State, now: float, event: events.CrashesChanged
+) -> list[effects.Effect]:
+    """Refuse the waiting calls of a request that is withheld from now on."""
+    emitted: list[effects.Effect] = []
+    for call in list(state.calls.calls.values()):
+        if call.attempts or fingerprint_of(call) != event.fingerprint:
+            continue
+        refusal = poison_refusals.refusal_of(
+            state,
+            now,
+            event.fingerprint,
+            call.service.poison_crashes,
+            verdicts.outcome_of(call.verdict),
+        )
+        if refusal is not None:
+            emitted.extend(give_up(state, call, refusal))
+    return emitted
+
+
 def on_admitted(
     state: core_state.State, now: float, event: events.CallAdmitted
 ) -> list[effects.Effect]:
@@ -153,11 +185,36 @@
     if not claiming.may_start(state, now, call):
         _release_unused(state, event)
         return give_up(state, call, claim_refusals.claim_expired())
+    refusal = sends.start(
+        state,
+        now,
+        _send_of(state, now, call, event.placement),
+        verdicts.outcome_of(call.verdict, in_flight=bool(call.attempts)),
+    )
+    if refusal is not None:
+        _release_unused(state, event)
+        return [] if call.attempts else give_up(state, call, refusal)
     if event.hedge:
         budget.spend(state.retries, call.service)
     return [_launch(state, now, call, event.placement, remaining)]
 
 
+def _send_of(
+    state: core_state.State, now: float, call: models.Call, placement: int
+) -> poison_models.Send:
+    target = state.routing.placements[placement].view.target
+    return poison_models.Send(
+        attempt=state.calls.last_attempt + 1,
+        request_id="",
+        fingerprint=fingerprint_of(call),
+        target=target.id,
+        address=target.address,
+        sent_at=now,
+        crash_limit=call.service.poison_crashes,
+        loss_is_crash=True,
+    )
+
+
 def _wants_target(
     state: core_state.State, call: models.Call, event: events.TargetChosen
 ) -> bool:
@@ -257,6 +314,7 @@
     for number in sorted(call.attempts):
         end_attempt(state, number)
         call.verdict = max(call.verdict, outcome_models.Verdict.MAY_HAVE_RUN)
+        state.pending_events.append(events.AttemptAbandoned(number))
         emitted.append(effects.CancelAttempt(number))
     return emitted
 
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -15,6 +15,7 @@
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
+from agateshelf.core.poison import models as poison_models
 
 # Imported for types only: an entry that follows routes doesn't load the modules
 # that only services need.
@@ -109,6 +110,40 @@
     target: str
 
 
+class TargetSilent(msgspec.Struct, frozen=True):
+    """A checked target neither accepted nor refused the connection."""
+
+    target: str
+
+
+class AttemptAbandoned(msgspec.Struct, frozen=True):
+    """An attempt was cancelled before it got an answer (internal)."""
+
+    attempt: int
+
+
+class CrashesChanged(msgspec.Struct, frozen=True):
+    """The crashes that count against a request changed (internal).
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+    """
+
+    fingerprint: bytes
+
+
+class PeerCrashesReported(msgspec.Struct, frozen=True):
+    """Another entry reported the digest of the crashes it knows (internal).
+
+    Attributes:
+        peer: The entry.
+        digest: Digest of its crashes; 0 for none.
+    """
+
+    peer: str
+    digest: int
+
+
 class StreamEnded(msgspec.Struct, frozen=True):
     """A streamed answer ended, completely or not."""
 
@@ -511,6 +546,11 @@
     | CallerDisconnected
     | AttemptAnswered
     | TargetRefused
+    | TargetSilent
+    | AttemptAbandoned
+    | CrashesChanged
+    | PeerCrashesReported
+    | poison_models.PoisonTimer
     | StreamEnded
     | AttemptFailed
     | ConfigurationRead
--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -10,12 +10,12 @@
 from agateshelf.core.dispatch import models as dispatch_models
 from agateshelf.core.dispatch import requester
 from agateshelf.core.forwarding import const
-from agateshelf.core.forwarding import crashes
 from agateshelf.core.forwarding import lifecycle
 from agateshelf.core.forwarding import models
 from agateshelf.core.forwarding import refusals
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import verdicts
+from agateshelf.core.poison import sends
 
 Effects = list[effects.Effect]
 Verdict = outcome_models.Verdict
@@ -40,9 +40,18 @@
     emitted = [] if ended is None else ended[2]
     emitted.append(_log_event_of(call, attempt, event, now))
     call.verdict = max(call.verdict, _verdict_of(event))
+    emitted.extend(
+        sends.on_answered(
+            state,
+            now,
+            event.attempt,
+            event.status,
+            not_run=event.not_run,
+            misdirected=event.misdirected,
+        )
+    )
     if event.not_run:
         return [*emitted, *_on_not_run(state, now, call)]
-    emitted.extend(crashes.on_answered(state, now, call))
     failed = event.status >= const.FIRST_SERVER_ERROR
     if failed and call.attempts:
         return emitted
@@ -51,6 +60,8 @@
     if event.status in const.NOT_RUN_STATUSES:
         refusal = refusals.target_failed(call)
         return [*emitted, *lifecycle.give_up(state, now, call, refusal)]
+    for number in call.attempts:
+        sends.forget(state, number)
     emitted.extend(lifecycle.cancel_attempts(state, now, call))
     emitted.append(effects.DeliverAnswer(call.number, event.attempt))
     emitted.extend(lifecycle.end_call(state, call))
@@ -134,6 +145,7 @@
             state, now, number, dispatch_models.Ending.NEUTRAL
         )
         emitted.append(effects.CancelAttempt(number))
+        sends.forget(state, number)
         if ended is not None:
             emitted.extend(ended[2])
     emitted.append(effects.DeliverAnswer(call.number, attempt.number))
@@ -145,14 +157,15 @@
 ) -> Effects:
     """Remove a call whose streamed answer is complete or was cut off."""
     state.forwarding.streaming.discard(event.attempt)
+    crash_effects = sends.on_stream_ended(state, now, event)
     ending = dispatch_models.Ending.NEUTRAL
     if event.whole:
         ending = dispatch_models.Ending.ANSWERED
     ended = lifecycle.end_attempt(state, now, event.attempt, ending)
     if ended is None:
-        return []
+        return crash_effects
     call, _, emitted = ended
-    return [*emitted, *lifecycle.end_call(state, call)]
+    return [*crash_effects, *emitted, *lifecycle.end_call(state, call)]
 
 
 def on_failure(
@@ -165,7 +178,9 @@
     if ended is None:
         return []
     call, attempt, emitted = ended
-    emitted.extend(crashes.on_failure(state, now, call, attempt, event))
+    emitted.extend(sends.on_failed(state, now, event))
+    if sends.is_loss(event):
+        call.lost_connections += 1
     verdict = verdicts.verdict_of_failure(
         event.kind, any_byte_sent=event.any_byte_sent
     )
--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -4,15 +4,20 @@
 from agateshelf.core import events
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
+from agateshelf.core.directory import models as directory_models
 from agateshelf.core.dispatch import messages as dispatch_messages
 from agateshelf.core.dispatch import models as dispatch_models
 from agateshelf.core.dispatch import owners
 from agateshelf.core.dispatch import requester
-from agateshelf.core.forwarding import crashes
+from agateshelf.core.forwarding import const
 from agateshelf.core.forwarding import models
 from agateshelf.core.forwarding import refusals
 from agateshelf.core.outcomes import models as outcome_models
-from agateshelf.core.poison import suspects
+from agateshelf.core.outcomes import verdicts
+from agateshelf.core.poison import fingerprints
+from agateshelf.core.poison import models as poison_models
+from agateshelf.core.poison import refusals as poison_refusals
+from agateshelf.core.poison import sends
 from agateshelf.core.routes import matching
 from agateshelf.core.routes import models as route_models
 from agateshelf.core.routes import splitting
@@ -29,10 +34,12 @@
     route = matching.find_route(state.routes, event.host, event.path)
     if route is None:
         return _refuse_early(state, event, refusals.no_route())
-    fingerprint = crashes.fingerprint_of(event)
-    poisonous = crashes.refusal_of(state, now, fingerprint)
+    fingerprint = fingerprint_of(event)
+    poisonous = poison_refusals.refusal_of(
+        state, now, fingerprint, const.POISON_CRASHES
+    )
     if poisonous is not None:
-        inputs = ("fingerprint", suspects.short(fingerprint))
+        inputs = ("fingerprint", fingerprints.short(fingerprint))
         return _refuse_early(state, event, poisonous, inputs)
     call = _create_call(state, now, event, route, fingerprint)
     state.forwarding.calls[call.number] = call
@@ -42,6 +49,13 @@
     return requester.request_dispatch(state, now, call)
 
 
+def fingerprint_of(event: events.RequestArrived) -> bytes:
+    """Return the digest by which repeats of a request are recognised."""
+    host = matching.normalize_host(event.host)
+    parts = (host, event.method, event.path, event.caller)
+    return fingerprints.fingerprint_of(parts, event.body_digest)
+
+
 def _refuse_early(
     state: core_state.State,
     event: events.RequestArrived,
@@ -131,6 +145,17 @@
         if is_hedge:
             return emitted
         return [*emitted, *requester.request_dispatch(state, now, call)]
+    refusal = sends.start(
+        state,
+        now,
+        _send_of(call, registration, state.forwarding.last_attempt + 1, now),
+        verdicts.outcome_of(call.verdict, in_flight=bool(call.attempts)),
+    )
+    if refusal is not None:
+        emitted = _release_grant(state, event, dispatch_models.Ending.NEUTRAL)
+        if call.attempts:
+            return emitted
+        return [*emitted, *give_up(state, now, call, refusal)]
     state.forwarding.last_attempt += 1
     attempt = models.Attempt(
         number=state.forwarding.last_attempt,
@@ -172,6 +197,42 @@
     ]
 
 
+def _send_of(
+    call: models.Call,
+    registration: directory_models.Registration,
+    attempt: int,
+    now: float,
+) -> poison_models.Send:
+    return poison_models.Send(
+        attempt=attempt,
+        request_id=call.request_id,
+        fingerprint=call.fingerprint,
+        target=registration.id,
+        address=registration.address,
+        sent_at=now,
+        crash_limit=const.POISON_CRASHES,
+        born=registration.born,
+        revision=registration.revision,
+    )
+
+
+def on_crashes_changed(
+    state: core_state.State, now: float, event: events.CrashesChanged
+) -> Effects:
+    """Refuse the waiting calls of a request that is withheld from now on."""
+    emitted: Effects = []
+    for call in list(state.forwarding.calls.values()):
+        if call.fingerprint != event.fingerprint or call.attempts:
+            continue
+        outcome = verdicts.outcome_of(call.verdict)
+        refusal = poison_refusals.refusal_of(
+            state, now, call.fingerprint, const.POISON_CRASHES, outcome
+        )
+        if refusal is not None:
+            emitted.extend(give_up(state, now, call, refusal))
+    return emitted
+
+
 def _milliseconds(seconds: float) -> float:
     return round(seconds * 1000, 1)
 
@@ -262,6 +323,7 @@
         ended = end_attempt(state, now, number, dispatch_models.Ending.NEUTRAL)
         call.verdict = max(call.verdict, outcome_models.Verdict.MAY_HAVE_RUN)
         emitted.append(effects.CancelAttempt(number))
+        state.pending_events.append(events.AttemptAbandoned(number))
         if ended is not None:
             emitted.extend(ended[2])
     return emitted
--- a/src/agateshelf/core/membership/messages.py
+++ b/src/agateshelf/core/membership/messages.py
@@ -14,12 +14,14 @@
         version: Active configuration version of the sender.
         sender: The sender's own record.
         updates: Gossiped records of other entries.
+        crashes: Digest of the crashes that the sender knows; 0 for none.
     """
 
     number: int
     version: int
     sender: models.Member
     updates: tuple[models.Member, ...] = ()
+    crashes: int = 0
 
 
 class Ack(peer_models.PeerMessage, frozen=True):
@@ -29,6 +31,7 @@
     version: int
     sender: models.Member
     updates: tuple[models.Member, ...] = ()
+    crashes: int = 0
 
 
 class IndirectPing(peer_models.PeerMessage, frozen=True):
--- a/src/agateshelf/core/membership/probing.py
+++ b/src/agateshelf/core/membership/probing.py
@@ -17,6 +17,7 @@
 from agateshelf.core.membership import models
 from agateshelf.core.membership import sync
 from agateshelf.core.membership import view
+from agateshelf.core.poison import records as crash_records
 
 
 def on_round(state: core_state.State, now: float) -> list[effects.Effect]:
@@ -82,6 +83,7 @@
         state.version,
         membership.own_record,
         gossip.take_updates(state, entry),
+        crash_records.digest(state, now),
     )
     return [effects.SendToPeers((entry,), message)]
 
@@ -196,6 +198,7 @@
         state.version,
         membership.own_record,
         gossip.take_updates(state, peer),
+        crash_records.digest(state, now),
     )
     return [*emitted, effects.SendToPeers((peer,), ack)]
 
@@ -225,6 +228,10 @@
     state.pending_events.append(
         events.PeerVersionReported(peer, message.version)
     )
+    if message.crashes != crash_records.digest(state, now):
+        state.pending_events.append(
+            events.PeerCrashesReported(peer, message.crashes)
+        )
     is_first = not state.membership.members
     emitted = gossip.merge_records(
         state, now, (message.sender, *message.updates)
--- /dev/null
+++ b/src/agateshelf/core/poison/fingerprints.py
@@ -0,0 +1,30 @@
+"""Fingerprints, by which repeats of a request are recognised."""
+
+from collections import abc
+import hashlib
+
+_FINGERPRINT_BYTES = 16
+_LENGTH_BYTES = 4
+_LOGGED_BYTES = 4
+
+
+def fingerprint_of(parts: abc.Iterable[str], body_digest: bytes) -> bytes:
+    """Return a digest that identifies a request if its caller repeats it.
+
+    Args:
+        parts: What a repeat has in common with the request. The caller is one
+            of them, so that no request is refused because of another caller's.
+        body_digest: Digest of the body.
+    """
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    for part in parts:
+        data = part.encode()
+        digest.update(len(data).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(data)
+    digest.update(body_digest)
+    return digest.digest()
+
+
+def short(fingerprint: bytes) -> str:
+    """Return the start of a fingerprint, which joins log lines."""
+    return fingerprint[:_LOGGED_BYTES].hex()
--- a/src/agateshelf/core/poison/refusals.py
+++ b/src/agateshelf/core/poison/refusals.py
@@ -1,24 +1,42 @@
 """Refusals of poisonous requests."""
 
+from agateshelf.core import state as core_state
 from agateshelf.core.outcomes import const as outcome_const
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.poison import const
+from agateshelf.core.poison import records
 
 
-def poisonous(crashes: int, retry_after: float) -> outcome_models.Refusal:
-    """Return the refusal of a request that crashed too many targets.
+def refusal_of(
+    state: core_state.State,
+    now: float,
+    fingerprint: bytes,
+    limit: int,
+    outcome: outcome_models.Outcome = outcome_models.Outcome.NOT_RUN,
+) -> outcome_models.Refusal | None:
+    """Return the refusal of a request that crashed too many targets, if any.
 
     Args:
-        crashes: Number of target crashes that are attributed to the request.
-        retry_after: Seconds until the request is no longer a suspect.
+        state: State of the entry.
+        now: Current time in seconds.
+        fingerprint: Fingerprint of the request.
+        limit: Crashes from which on the request is withheld.
+        outcome: Whether an earlier attempt of this call may have run.
     """
+    until = records.withheld_until(state, now, fingerprint, limit)
+    if until is None:
+        return None
+    crashes = len(records.active_crashes(state, now, fingerprint))
+    status = outcome_const.STATUS_BAD_GATEWAY
+    if outcome is outcome_models.Outcome.NOT_RUN:
+        status = outcome_const.STATUS_UNAVAILABLE
     return outcome_models.Refusal(
-        status=outcome_const.STATUS_UNAVAILABLE,
-        outcome=outcome_models.Outcome.NOT_RUN,
+        status=status,
+        outcome=outcome,
         reason=const.REASON_POISONOUS,
         detail=(
             f"Targets crashed {crashes} times while they ran this request. "
             "It was not forwarded this time; earlier attempts may have run."
         ),
-        retry_after=retry_after,
+        retry_after=until - now,
     )
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -20,8 +20,10 @@
 from agateshelf.core import timers
 from agateshelf.core.membership import handling as membership
 from agateshelf.core.membership import models as membership_models
+from agateshelf.core.poison import handling as poison
 from agateshelf.core.poison import messages as poison_messages
-from agateshelf.core.poison import suspects
+from agateshelf.core.poison import models as poison_models
+from agateshelf.core.poison import replication
 
 Effects = list[effects.Effect]
 
@@ -75,6 +77,15 @@
             | membership_models.SyncDue()
         ):
             return membership.on_timer(state, now, event)
+        case (
+            poison_models.TargetCheckDue()
+            | poison_models.ReportsDue()
+            | events.TargetRefused()
+            | events.TargetSilent()
+            | events.AttemptAbandoned()
+            | events.PeerCrashesReported()
+        ):
+            return poison.on_event(state, now, event)
         case events.LiveEntriesChanged():
             domains = {one.id: one.failure_domain for one in event.entries}
             state.membership.failure_domains = domains
@@ -112,10 +123,8 @@
     state: core_state.State, now: float, event: events.PeerMessageReceived
 ) -> Effects:
     match event.message:
-        case (
-            poison_messages.CrashSeen() | poison_messages.SuspectCleared()
-        ) as message:
-            return suspects.on_message(state, now, message)
+        case poison_messages.CrashReports() as message:
+            return replication.on_message(state, now, event.peer, message)
         case _:
             pass
     emitted: Effects | None = _mode_reducer(state).on_message(state, now, event)
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -15,7 +15,7 @@
 from agateshelf.core.feed import relaying
 from agateshelf.core.forwarding import completion
 from agateshelf.core.forwarding import lifecycle
-from agateshelf.core.poison import lost_connections
+from agateshelf.core.poison import evidence
 
 Effects = list[effects.Effect]
 
@@ -29,8 +29,6 @@
             return lifecycle.on_request(state, now, event)
         case events.DispatchDecided():
             return lifecycle.on_dispatch_decided(state, now, event)
-        case events.TargetRefused():
-            return lost_connections.on_target_refused(state, now, event)
         case events.TargetProbed():
             return sampling.on_probed(state, now, event)
         case events.AttemptAnswered():
@@ -90,12 +88,15 @@
             return dispatchers.start_owned(state, now)
         case events.TargetsChanged():
             return [
+                *evidence.on_targets_changed(state, now, event),
                 *sampling.on_targets_changed(state, event),
                 *dispatchers.on_targets_changed(state, now, event),
             ]
         case events.LiveEntriesChanged():
             owners.clear_rankings(state)
             return dispatchers.on_entries(state, now)
+        case events.CrashesChanged():
+            return lifecycle.on_crashes_changed(state, now, event)
         case events.StopDeadlinePassed():
             return lifecycle.on_stop_deadline(state, now)
         case events.PeerVersionReported():
--- a/src/agateshelf/core/service_reducer.py
+++ b/src/agateshelf/core/service_reducer.py
@@ -15,7 +15,6 @@
 from agateshelf.core.hedging import policy as hedging
 from agateshelf.core.limits import admission
 from agateshelf.core.limits import lending
-from agateshelf.core.poison import lost_connections
 from agateshelf.core.routing import grants
 from agateshelf.core.routing import groups
 from agateshelf.core.routing import placing
@@ -88,8 +87,8 @@
             return claim_handling.on_event(state, now, event)
         case events.StoreAnswered():
             return _on_store_answer(state, now, event)
-        case events.TargetRefused():
-            return lost_connections.on_target_refused(state, now, event)
+        case events.CrashesChanged():
+            return lifecycle.on_crashes_changed(state, now, event)
         case events.LiveEntriesChanged():
             return _on_entries(state, now, event)
         case _:
