Soak: requests that crash their targets, and services that shed everything

A plan may now have a request that is repeated ten times a second through all entries while its targets end (refused, dark, back at once, address taken), and a service that sheds for 2 to 4 s. They are drawn apart, so that the other faults of a seed stay. The invariant is the users' rule; its handmade histories are in test_invariants.

--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -172,6 +172,17 @@
             ),
         ),
     ),
+    Mutation(
+        "crashing-requests",
+        "late after",
+        (
+            Edit(
+                f"{_CORE}/poison/records.py",
+                "if len(active) < limit:",
+                "if True:",
+            ),
+        ),
+    ),
     Mutation(
         "recovery",
         "after the last fault",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -27,6 +27,9 @@
 _MAX_REQUESTS_PER_CONNECTION = 40
 
 
+_single_numbers = itertools.count()
+
+
 class _ConnectionClosedError(Exception):
     """The connection was closed before a complete response."""
 
@@ -106,6 +109,34 @@
         return parts, self.rng.random() < _CHUNKED_SHARE
 
 
+async def send_once(
+    cluster: Any, history: history_lib.History, entry: int, path: str
+) -> None:
+    """Send a lookup to an entry over a new connection and record it."""
+    call = history_lib.Call(
+        f"x{next(_single_numbers)}",
+        path,
+        True,
+        entry,
+        cluster.entries[entry].process_id,
+        0.0,
+        LOOKUP_TIMEOUT_SECONDS,
+    )
+    try:
+        sock = await _connect(cluster.entries[entry].caller_address)
+    except OSError:
+        return
+    async with sock:
+        conn = h11.Connection(h11.CLIENT)
+        call.sent_at = time.time()
+        try:
+            await _send(sock, conn, call, ([], False))
+        except OSError:
+            return
+        history.calls.append(call)
+        await _await_response(sock, conn, call)
+
+
 async def _connect(address: str) -> Any:
     host, _, port = address.rpartition(":")
     try:
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -27,6 +27,8 @@
 DOMAINS = ("boston", "hartford")
 GRACE_SECONDS = 4.0
 DRAIN_MS = 3500.0
+# Exit status of a target that a request crashed.
+CRASH_STATUS = 1
 _READY_SECONDS = 15.0
 
 
@@ -135,6 +137,7 @@
                 str(self.ledger_path),
             ),
             *("--slots", "4", "--drain-ms", str(DRAIN_MS)),
+            *("--crash-mark", invariants.CRASH_MARK),
         )
         target.link.upstream = target.process.address
         target.down = False
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,8 @@
         CUT_THERE: Holds the direction from the client to the server.
         CUT_BACK: Holds the direction from the server to the client.
         RESET: Resets all connections, new ones as well.
+        REFUSED: Resets all connections and refuses new ones.
+        DARK: Holds all traffic and answers no new connections.
     """
 
     PASS = "pass"
@@ -27,6 +29,26 @@
     CUT_THERE = "cut-there"
     CUT_BACK = "cut-back"
     RESET = "reset"
+    REFUSED = "refused"
+    DARK = "dark"
+
+
+class CrashEnding(enum.Enum):
+    """What is seen of a target that a request crashes.
+
+    Attributes:
+        REFUSED: Connections are refused for some seconds.
+        DARK: Nothing is answered; the registration expires, and the target is
+            back later under its name.
+        REBORN: It starts again at once under its name.
+        TAKEN_OVER: Its registration is deleted, and another target starts at
+            its address.
+    """
+
+    REFUSED = "refused"
+    DARK = "dark"
+    REBORN = "reborn"
+    TAKEN_OVER = "taken over"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,6 +190,36 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashingRequest:
+    """Repeats a request that crashes each target that runs it.
+
+    It is sent through random entries, whatever they answer.
+
+    Attributes:
+        number: Number that tells such requests of a plan apart.
+        seconds: How long it is repeated.
+        ending: How its targets end.
+    """
+
+    number: int
+    seconds: float
+    ending: CrashEnding
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShedService:
+    """Makes all targets of a service shed every request for some seconds.
+
+    Attributes:
+        parity: Remainder of the numbers of the service's targets, divided by 2.
+        seconds: How long they shed.
+    """
+
+    parity: int
+    seconds: float
+
+
 Fault = (
     StopEntry
     | KillEntry
@@ -183,6 +235,8 @@
     | BreakLink
     | NewTable
     | Burst
+    | CrashingRequest
+    | ShedService
 )
 
 
@@ -212,6 +266,17 @@
 # Share of plans that consist of planned operations alone: some invariants hold
 # only while no other fault is active.
 PLANNED_SHARE = 0.35
+# Modes drawn for links; the others belong to the ends of targets.
+_LINK_MODES = (
+    Mode.DELAY,
+    Mode.SILENT,
+    Mode.CUT_THERE,
+    Mode.CUT_BACK,
+    Mode.RESET,
+)
+# Shares of plans with a crashing request, and with a service that sheds.
+CRASHING_SHARE = 0.6
+SHED_SHARE = 0.4
 _PLANNED_OPERATIONS = (StopEntry, HangUp, DrainTarget, NewTable, Burst)
 
 
@@ -227,7 +292,28 @@
         (at, _draw_fault(rng, entries, targets, planned_only=planned_only))
         for at in times
     )
-    return Plan(seed, entries, targets, seconds, faults)
+    faults = (*faults, *_draw_load(seed, seconds))
+    ordered = sorted(faults, key=lambda timed: timed[0])
+    return Plan(seed, entries, targets, seconds, tuple(ordered))
+
+
+def _draw_load(seed: int, seconds: float) -> list[tuple[float, Fault]]:
+    """Draw the callers' and services' trouble of a plan.
+
+    It has a generator of its own, so that the other faults of a seed stay the
+    same.
+    """
+    rng = random.Random(f"{seed}/load")
+    drawn: list[tuple[float, Fault]] = []
+    if rng.random() < CRASHING_SHARE:
+        at = rng.uniform(0.0, seconds / 5)
+        ending = rng.choice(list(CrashEnding))
+        drawn.append((at, CrashingRequest(0, seconds - at, ending)))
+    if rng.random() < SHED_SHARE:
+        at = rng.uniform(0.0, seconds / 2)
+        shed = ShedService(rng.randrange(2), rng.uniform(2.0, 4.0))
+        drawn.append((at, shed))
+    return drawn
 
 
 def _draw_fault(
@@ -236,7 +322,7 @@
     entry = rng.randrange(entries)
     target = rng.randrange(targets)
     seconds = rng.uniform(0.2, MAX_FAULT_SECONDS)
-    mode = rng.choice([m for m in Mode if m is not Mode.PASS])
+    mode = rng.choice(_LINK_MODES)
     faults: list[tuple[int, Fault]] = [
         (4, StopEntry(entry, seconds)),
         (3, KillEntry(entry, seconds)),
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -3,6 +3,7 @@
 A fault that excuses violations is recorded in the history once it is over.
 """
 
+import random
 import signal
 import subprocess
 import time
@@ -11,14 +12,23 @@
 import curio
 
 from agateshelf_standins import system
+from soak import callers
 from soak import cluster as cluster_lib
 from soak import faults
+from soak import invariants
 
 # Time that an entry may take to exit beyond its grace period.
 _STOP_MARGIN_SECONDS = 1.0
 # How long a fault still counts as active after processes were restarted or
 # registrations deleted.
 _RESTART_SECONDS = 2.0
+# Interval at which a crashing request is repeated.
+_REPEAT_SECONDS = 0.1
+# How long a crashed target refuses connections, or answers nothing.
+_REFUSED_SECONDS = 2.0
+_DARK_SECONDS = 4.0
+# Three heartbeats of a target.
+_EXPIRY_SECONDS = 1.5
 
 
 async def inject(cluster: cluster_lib.Cluster, fault: faults.Fault) -> None:
@@ -75,6 +85,10 @@
             await _break_link(cluster, fault)
         case faults.NewTable():
             await curio.run_in_thread(cluster.write_table)
+        case faults.CrashingRequest():
+            await _repeat_crashing_request(cluster, fault)
+        case faults.ShedService():
+            await _shed_service(cluster, fault)
         case faults.Burst():
             cluster.rate_factor *= 4.0
             await curio.sleep(fault.seconds)
@@ -183,6 +197,86 @@
     cluster.add_fault_window("target", target.number, begin)
 
 
+async def _repeat_crashing_request(
+    cluster: cluster_lib.Cluster, fault: faults.CrashingRequest
+) -> None:
+    """Repeat a crashing request, and end the targets that it crashes."""
+    path = f"/vin/{invariants.CRASH_MARK}-{fault.number}"
+    rng = random.Random(f"{fault.number}/{fault.ending.value}")
+    end = time.monotonic() + fault.seconds
+    async with curio.TaskGroup() as group:
+        while time.monotonic() < end:
+            entry = rng.randrange(len(cluster.entries))
+            await group.spawn(
+                callers.send_once, cluster, cluster.history, entry, path
+            )
+            for target in cluster.targets:
+                if _has_crashed(target):
+                    target.down = True
+                    await group.spawn(
+                        _end_target, cluster, target, fault.ending
+                    )
+            await curio.sleep(_REPEAT_SECONDS)
+
+
+def _has_crashed(target: cluster_lib.Target) -> bool:
+    if target.down or target.process is None:
+        return False
+    return target.process.popen.poll() == cluster_lib.CRASH_STATUS
+
+
+async def _end_target(
+    cluster: cluster_lib.Cluster,
+    target: cluster_lib.Target,
+    ending: faults.CrashEnding,
+) -> None:
+    begin = time.time()
+    match ending:
+        case faults.CrashEnding.REFUSED:
+            await target.link.set_mode(faults.Mode.REFUSED)
+            await curio.sleep(_REFUSED_SECONDS)
+        case faults.CrashEnding.DARK:
+            await target.link.set_mode(faults.Mode.DARK)
+            await curio.sleep(_EXPIRY_SECONDS)
+            await _delete_registration(cluster, target)
+            await curio.sleep(_DARK_SECONDS - _EXPIRY_SECONDS)
+        case faults.CrashEnding.REBORN:
+            pass
+        case faults.CrashEnding.TAKEN_OVER:
+            await _delete_registration(cluster, target)
+            target.name += "x"
+    await curio.run_in_thread(cluster.start_target, target)
+    await target.link.set_mode(faults.Mode.PASS)
+    cluster.add_fault_window("target", target.number, begin)
+
+
+async def _delete_registration(
+    cluster: cluster_lib.Cluster, target: cluster_lib.Target
+) -> None:
+    key = f"servers/{target.name}"
+    await curio.run_in_thread(
+        system.write_key, cluster.store.address, key, None
+    )
+
+
+async def _shed_service(
+    cluster: cluster_lib.Cluster, fault: faults.ShedService
+) -> None:
+    async with curio.TaskGroup() as group:
+        for target in cluster.targets[fault.parity :: 2]:
+            change = faults.ChangeTarget(
+                target.number, fault.seconds, "reject_all", True, False
+            )
+            await group.spawn(
+                _change_option,
+                cluster,
+                "target",
+                target.number,
+                target.process,
+                change,
+            )
+
+
 async def _change_option(
     cluster: cluster_lib.Cluster,
     kind: str,
@@ -207,10 +301,8 @@
 
 async def _delete_registrations(cluster: cluster_lib.Cluster) -> None:
     begin = time.time()
-    address = cluster.store.address
     for target in cluster.targets:
-        key = f"servers/{target.name}"
-        await curio.run_in_thread(system.write_key, address, key, None)
+        await _delete_registration(cluster, target)
     await curio.sleep(_RESTART_SECONDS)
     cluster.add_fault_window("store", -1, begin)
 
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -34,6 +34,13 @@
 # The `max_attempts` of all routes, and how many requests may exceed it.
 MAX_ATTEMPTS = 2
 MAX_REQUESTS_OVER_LIMIT = 3
+# Part of the path of a request that crashes each target that runs it.
+CRASH_MARK = "crash"
+# Later than LATE_SECONDS after such a request has crashed MAX_CRASHES targets,
+# entries send it at most MAX_LATE_SENDS times.
+MAX_CRASHES = 3
+LATE_SECONDS = 3.0
+MAX_LATE_SENDS = 3
 # Share of requests that are served after the recovery.
 MIN_SERVED_SHARE = 0.9
 
@@ -58,6 +65,7 @@
         _late_tables,
         _excess_attempts,
         _excess_retries,
+        _late_crashing_sends,
         _missing_recovery,
         _missing_retry_after,
     )
@@ -314,6 +322,46 @@
     return violations
 
 
+def _late_crashing_sends(history: history_lib.History) -> list[str]:
+    """Find crashing requests that are sent on after MAX_CRASHES crashes.
+
+    Sends of entries that were cut off or not running shortly before don't
+    count.
+    """
+    marked = {
+        call.id: call for call in history.calls if CRASH_MARK in call.path
+    }
+    violations = []
+    for path in sorted({call.path for call in marked.values()}):
+        lines = [
+            line
+            for line in history.ledger
+            if line.get("id") in marked and marked[line["id"]].path == path
+        ]
+        crashes = sorted(line["at"] for line in lines if line["kind"] == "run")
+        if len(crashes) < MAX_CRASHES:
+            continue
+        late_from = crashes[MAX_CRASHES - 1] + LATE_SECONDS
+        late = [
+            line
+            for line in lines
+            if line["kind"] == "arrived"
+            and line["at"] > late_from
+            and _is_connected(
+                history,
+                marked[line["id"]].entry,
+                line["at"] - SETTLING_SECONDS,
+                line["at"],
+            )
+        ]
+        if len(late) > MAX_LATE_SENDS:
+            violations.append(
+                f"{path} was sent {len(late)} times late after "
+                f"{MAX_CRASHES} crashes; {len(crashes)} in all"
+            )
+    return violations
+
+
 def _missing_recovery(history: history_lib.History) -> list[str]:
     """Check the share of requests served once the last fault is over.
 
--- a/soak/links.py
+++ b/soak/links.py
@@ -18,6 +18,9 @@
 _POLL_SECONDS = 0.02
 _DELAY_SECONDS = 0.12
 _CONNECT_SECONDS = 1.0
+_BACKLOG = 256
+# A queue of length 0 holds one connection.
+_FILLERS = 2
 # Value of SO_LINGER with a timeout of 0: closing the socket resets it.
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
@@ -31,7 +34,11 @@
         address: `HOST:PORT` on which it listens.
         mode: What it does with its traffic.
         sockets: Open sockets of both sides.
-        tasks: Tasks that accept and serve connections.
+        tasks: Tasks that serve connections.
+        listener: The listening socket; None while connections are refused.
+        acceptor: Task that accepts connections.
+        fillers: Connections that fill the listener's queue, so that the kernel
+            answers no others.
     """
 
     upstream: str = ""
@@ -39,13 +46,22 @@
     mode: faults.Mode = faults.Mode.PASS
     sockets: set[Any] = dataclasses.field(default_factory=set)
     tasks: set[curio.Task] = dataclasses.field(default_factory=set)
+    listener: Any = None
+    acceptor: curio.Task | None = None
+    fillers: list[socket.socket] = dataclasses.field(default_factory=list)
 
     async def start(self) -> None:
         """Listen on a free port."""
-        listener = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=256)
-        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
-        task = await curio.spawn(self._accept, listener, daemon=True)
-        self.tasks.add(task)
+        await self._listen(0)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    async def _listen(self, port: int) -> None:
+        self.listener = curio.network.tcp_server_socket(
+            "127.0.0.1", port, backlog=_BACKLOG
+        )
+        self.acceptor = await curio.spawn(
+            self._accept, self.listener, daemon=True
+        )
 
     async def stop(self) -> None:
         """Cancel all tasks.
@@ -53,22 +69,59 @@
         A connection accepted while the event loop shuts down would leave a task
         that outlives the loop.
         """
+        await self._stop_accepting()
         while self.tasks:
             await self.tasks.pop().cancel()
 
     async def set_mode(self, mode: faults.Mode) -> None:
         """Set the mode, for open connections as well."""
         self.mode = mode
-        if mode is faults.Mode.RESET:
+        if mode in (faults.Mode.RESET, faults.Mode.REFUSED):
             for sock in list(self.sockets):
                 await _reset(sock)
+        match mode:
+            case faults.Mode.REFUSED:
+                await self._stop_accepting()
+            case faults.Mode.DARK:
+                await self._go_dark()
+            case _ if self.acceptor is None:
+                await self._stop_accepting()
+                await self._listen(int(self.address.rpartition(":")[2]))
+
+    async def _stop_accepting(self) -> None:
+        if self.acceptor is not None:
+            await self.acceptor.cancel()
+            self.acceptor = None
+        if self.listener is not None:
+            await self.listener.close()
+            self.listener = None
+        while self.fillers:
+            self.fillers.pop().close()
+
+    async def _go_dark(self) -> None:
+        """Leave new connections without an answer.
+
+        The kernel drops them while the queue of a listener that accepts none is
+        full.
+        """
+        if self.acceptor is not None:
+            await self.acceptor.cancel()
+            self.acceptor = None
+        if self.listener is None:
+            return
+        self.listener.listen(0)
+        address = self.listener.getsockname()
+        for _ in range(_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self.fillers.append(filler)
 
     async def _accept(self, listener: Any) -> None:
-        async with listener:
-            while True:
-                sock, _ = await listener.accept()
-                task = await curio.spawn(self._serve, sock, daemon=True)
-                self.tasks.add(task)
+        while True:
+            sock, _ = await listener.accept()
+            task = await curio.spawn(self._serve, sock, daemon=True)
+            self.tasks.add(task)
 
     async def _serve(self, sock: Any) -> None:
         try:
@@ -120,7 +173,8 @@
         """Wait for the delay of the mode, or until the mode lets data pass."""
         if self.mode is faults.Mode.DELAY:
             await curio.sleep(_DELAY_SECONDS)
-        while self.mode in (faults.Mode.SILENT, blocked):
+        held = (faults.Mode.SILENT, faults.Mode.DARK, blocked)
+        while self.mode in held:
             await curio.sleep(_POLL_SECONDS)
 
 
--- a/src/agateshelf_standins/member.py
+++ b/src/agateshelf_standins/member.py
@@ -235,6 +235,7 @@
 @click.option("--slots", type=int, default=2)
 @click.option("--service-ms", type=float, default=20.0)
 @click.option("--drain-ms", type=float, default=2000.0)
+@click.option("--crash-mark", default="", help="Part of a path that crashes.")
 def main(
     port: int,
     name: str,
@@ -246,12 +247,16 @@
     slots: int,
     service_ms: float,
     drain_ms: float,
+    crash_mark: str,
 ) -> None:
     """Run a stand-in for a target that registers itself."""
     ledger.touch()
     config = MemberConfig(name, service, domain, store, advertised, ledger)
     options = target.TargetOptions(
-        slots=slots, service_ms=service_ms, drain_ms=drain_ms
+        slots=slots,
+        service_ms=service_ms,
+        drain_ms=drain_ms,
+        crash_mark=crash_mark,
     )
     curio.run(Member(config, options).run, port)
 
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -47,6 +47,21 @@
     )
 
 
+def create_crashing_history(late_sends, **changes):
+    """Create a history of a request that crashed three targets."""
+    path = f"/vin/{invariants.CRASH_MARK}"
+    calls = [
+        create_call(f"x{n}", path=path, idempotent=True, status=502)
+        for n in range(3 + late_sends)
+    ]
+    crashes = [ledger_line(f"x{n}", 100.0 + n / 10) for n in range(3)]
+    late = [
+        ledger_line(f"x{3 + n}", 103.3 + n / 10, "arrived")
+        for n in range(late_sends)
+    ]
+    return create_history(*calls, ledger=[*crashes, *late], **changes)
+
+
 VERSION_2_ROUTE = {"path": "/m2/x", "idempotent": True}
 
 VIOLATIONS = {
@@ -87,6 +102,7 @@
         *(create_call(f"c{n}", idempotent=True) for n in range(30)),
         ledger=[ledger_line(f"c{n // 2}", kind="arrived") for n in range(60)],
     ),
+    "late sends of a crashing request": create_crashing_history(4),
     "missing recovery": create_history(
         *(create_call(f"c{n}", status=502, sent_at=110.0) for n in range(10)),
         faults_over_at=90.0,
@@ -114,6 +130,20 @@
     assert invariants.find_violations(history) == []
 
 
+def test_a_crashing_request_may_be_sent_late_three_times():
+    assert invariants.find_violations(create_crashing_history(3)) == []
+
+
+def test_an_entry_that_was_cut_off_is_excused_for_late_sends():
+    cut = history_lib.FaultWindow("link", 0, 99.0, 102.0)
+    history = create_crashing_history(4, fault_windows=[cut])
+    assert invariants.find_violations(history) == []
+    cut = history_lib.FaultWindow("link", 1, 99.0, 102.0)
+    assert invariants.find_violations(
+        create_crashing_history(4, fault_windows=[cut])
+    )
+
+
 def test_only_a_pause_of_its_own_entry_excuses_a_late_response():
     pause = history_lib.FaultWindow("entry", 0, 100.1, 104.0)
     late = create_call("a", status=None, ended_at=None)
