Crash reports: entries keep the same ones, and never fail on one they can't read

A full table is no longer reconciled, and more crashes than fit into one exchange are drawn at random.

--- a/src/agateshelf/core/poison/const.py
+++ b/src/agateshelf/core/poison/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-MAX_SUSPECTS: Final = 1024
+MAX_SUSPECTS: Final = 4096
 MAX_CRASHES_PER_SUSPECT: Final = 8
 MAX_LOSSES: Final = 1024
 MAX_LOSSES_PER_REQUEST: Final = 16
@@ -36,5 +36,8 @@
 REPORTS_PER_MESSAGE: Final = 128
 # Limit on the reports that an entry with another digest gets at once.
 MAX_SYNC_REPORTS: Final = 512
+# Probe rounds from the start after which an entry passes on what others tell
+# it: before, it is the one that catches up.
+RELAY_AFTER_ROUNDS: Final = 3
 
 REASON_POISONOUS: Final = "request-crashes-targets"
--- a/src/agateshelf/core/poison/records.py
+++ b/src/agateshelf/core/poison/records.py
@@ -59,7 +59,10 @@
     status: models.Status,
     ttl: float,
 ) -> bool:
-    """Add a crash or raise its status; return whether that changed anything."""
+    """Add a crash or raise its status; return whether that changed anything.
+
+    Entries that get the same crashes of a request keep the same ones of them.
+    """
     poison = state.poison
     suspect = poison.suspects.get(fingerprint)
     known = None if suspect is None else suspect.crashes.get(process)
@@ -70,7 +73,12 @@
     until = now + ttl
     suspect.crashes[process] = models.Crash(status, until)
     if len(suspect.crashes) > const.MAX_CRASHES_PER_SUSPECT:
-        del suspect.crashes[next(iter(suspect.crashes))]
+        excess = max(
+            suspect.crashes, key=lambda p: _rank(p, suspect.crashes[p])
+        )
+        del suspect.crashes[excess]
+        if excess == process:
+            return False
     poison.suspects.move_to_end(fingerprint)
     poison.next_expiry = min(poison.next_expiry, until)
     poison.digest = None
@@ -82,6 +90,13 @@
     return True
 
 
+def _rank(
+    process: models.Process, crash: models.Crash
+) -> tuple[models.Status, str, int, str]:
+    """Return the order in which the crashes of a request are kept."""
+    return crash.status, process.target, process.born or 0, process.nonce
+
+
 def _record_end(
     poison: models.PoisonState, process: models.Process, now: float
 ) -> None:
@@ -121,7 +136,7 @@
         return []
     cleared = []
     for process, crash in list(suspect.crashes.items()):
-        ttl = crash.until - now
+        ttl = min(crash.until - now, const.CLEARED_TTL_SECONDS)
         if merge(state, now, fingerprint, process, models.Status.CLEARED, ttl):
             cleared.append(process)
     return cleared
@@ -149,6 +164,11 @@
     return registration.born > process.born
 
 
+def is_full(state: core_state.State) -> bool:
+    """Return whether adding a request drops another one."""
+    return len(state.poison.suspects) >= const.MAX_SUSPECTS
+
+
 def expire(state: core_state.State, now: float) -> None:
     """Drop the crashes that have expired."""
     poison = state.poison
@@ -206,11 +226,13 @@
     """Return reports of all crashes, of requests with the most of them first.
 
     They are limited in number: after the loss of many targets at once, most are
-    of requests that only happened to run there.
+    of requests that only happened to run there. These are drawn at random, so
+    that all get through in time.
     """
-    ordered = sorted(
-        state.poison.suspects.items(), key=lambda item: -len(item[1].crashes)
-    )
+    ordered = list(state.poison.suspects.items())
+    if len(ordered) > const.MAX_SYNC_REPORTS:
+        state.rng.shuffle(ordered)
+    ordered.sort(key=lambda item: -len(item[1].crashes))
     reports = [
         report_of(state, now, fingerprint, process)
         for fingerprint, suspect in ordered
--- a/src/agateshelf/core/poison/replication.py
+++ b/src/agateshelf/core/poison/replication.py
@@ -20,6 +20,8 @@
 
 Effects = list[effects.Effect]
 
+_STATUSES = frozenset(models.Status)
+
 
 def announce(
     state: core_state.State,
@@ -97,6 +99,9 @@
     """
     if event.digest == records.digest(state, now):
         return []
+    if records.is_full(state):
+        # Entries that drop different requests would never agree.
+        return [effects.Count("poison.not_reconciled")]
     reports = records.all_reports(state, now)
     step = const.REPORTS_PER_MESSAGE
     return [
@@ -119,14 +124,20 @@
     """Merge the crashes that another entry reports.
 
     After a partition the entries of a side learn the other side's crashes from
-    the first of them that does. An entry that knew no crash has just started,
-    and tells nobody: it is the others that knew them.
+    the first of them that does.
     """
-    is_starting = not state.poison.suspects
+    relays = (
+        message.complete
+        and state.membership.probe_rounds >= const.RELAY_AFTER_ROUNDS
+        and not records.is_full(state)
+    )
     emitted: Effects = []
     for report in message.reports:
         process = models.Process(report.target, report.born, report.nonce)
-        status = models.Status(min(report.status, models.Status.CLEARED))
+        if report.status not in _STATUSES:
+            emitted.append(effects.Count("poison.unknown_status"))
+            continue
+        status = models.Status(report.status)
         ttl = min(report.ttl, const.CRASH_TTL_SECONDS)
         if ttl <= 0 or not records.merge(
             state, now, report.fingerprint, process, status, ttl
@@ -143,7 +154,7 @@
                 ("from", peer),
             )
         )
-        if message.complete and not is_starting:
+        if relays:
             key = (report.fingerprint, process)
             state.poison.unsent[key] = None
     return [*emitted, *_flush(state, now)]
--- a/tests/core/poison/test_crash_replication.py
+++ b/tests/core/poison/test_crash_replication.py
@@ -8,6 +8,10 @@
 from tests.core import crash_fleet
 from tests.core import routed_fleet
 
+from agateshelf.core import events
+from agateshelf.core.poison import const
+from agateshelf.core.poison import messages
+from agateshelf.core.poison import models
 from agateshelf.core.poison import records
 
 CATCH_UP_SECONDS = 2.0
@@ -135,3 +139,54 @@
     for node in fleet.nodes.values():
         assert records.digest(node.state, fleet.now) == 0
         assert not node.state.poison.suspects
+
+
+def test_entries_agree_on_a_request_with_more_crashes_than_are_kept():
+    # Entries that kept different crashes would tell each other the rest again and
+    # again.
+    fleet = create_fleet(4)
+    names = list(fleet.nodes)
+    for number in range(3 * const.MAX_CRASHES_PER_SUSPECT):
+        node = fleet.nodes[names[number % len(names)]]
+        report = messages.CrashReport(
+            b"f", f"t{number}", number, "", models.Status.CONFIRMED, 600.0
+        )
+        message = messages.CrashReports((report,), complete=True)
+        fleet.post(node, events.PeerMessageReceived("10.0.0.98:1", message))
+    fleet.run_for(30.0)
+    digests = {
+        records.digest(node.state, fleet.now) for node in fleet.nodes.values()
+    }
+    assert len(digests) == 1
+    before = fleet.messages["CrashReports"]
+    fleet.run_for(30.0)
+    assert fleet.messages["CrashReports"] == before
+
+
+def test_entries_with_more_crashes_than_fit_do_not_flood_each_other(
+    monkeypatch,
+):
+    monkeypatch.setattr(const, "MAX_SUSPECTS", 10)
+    fleet = create_fleet(4)
+    names = list(fleet.nodes)
+    for number in range(80):
+        node = fleet.nodes[names[number % len(names)]]
+        report = messages.CrashReport(
+            b"f%d" % number, "t", 1, "", models.Status.CONFIRMED, 600.0
+        )
+        message = messages.CrashReports((report,), complete=True)
+        fleet.post(node, events.PeerMessageReceived("10.0.0.98:1", message))
+    fleet.run_for(30.0)
+    before = fleet.messages["CrashReports"]
+    fleet.run_for(30.0)
+    assert fleet.messages["CrashReports"] == before
+
+
+def test_a_report_of_an_unknown_status_is_ignored():
+    fleet = create_fleet(2)
+    node = next(iter(fleet.nodes.values()))
+    for status in (-1, 7):
+        report = messages.CrashReport(b"f", "t", 1, "", status, 600.0)
+        message = messages.CrashReports((report,))
+        fleet.post(node, events.PeerMessageReceived("10.0.0.98:1", message))
+    assert not node.state.poison.suspects
