--- a/tests/core/poison/test_crash_replication.py
+++ b/tests/core/poison/test_crash_replication.py
@@ -142,8 +142,7 @@
 
 
 def test_entries_agree_on_a_request_with_more_crashes_than_are_kept():
-    # Entries that kept different crashes would tell each other the rest again and
-    # again.
+    # Entries that kept different crashes would report the rest without end.
     fleet = create_fleet(4)
     names = list(fleet.nodes)
     for number in range(3 * const.MAX_CRASHES_PER_SUSPECT):
