--- a/tests/core/poison/test_crashing_requests_over_entries.py
+++ b/tests/core/poison/test_crashing_requests_over_entries.py
@@ -47,6 +47,22 @@
     assert len(fleet.late_sends) - before <= crash_fleet.MAX_LATE_SENDS
 
 
+@pytest.mark.parametrize("ending", list(Ending))
+def test_entries_that_all_restart_at_once_withhold_the_request(ending):
+    # No entry is left to tell the others: the platform has to.
+    fleet = crash_fleet.CrashFleet(ending)
+    fleet.repeat_marked(8.0)
+    for name in fleet.nodes:
+        fleet.kill(name)
+    fleet.run_for(0.5)
+    for name in fleet.nodes:
+        fleet.restart(name)
+    fleet.run_for(crash_fleet.LATE_SECONDS)
+    before = len(fleet.late_sends)
+    fleet.repeat_marked(20.0)
+    assert len(fleet.late_sends) - before <= crash_fleet.MAX_LATE_SENDS
+
+
 @pytest.mark.parametrize("ending", list(Ending))
 def test_an_entry_that_joins_withholds_the_request(ending):
     fleet = crash_fleet.CrashFleet(ending)
