--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -390,5 +390,6 @@
                 decision.retry_after,
                 decision.waiting,
                 decision.usable,
+                decision.request.work,
             )
             return owners.send(state, entry, refused)
--- a/src/agateshelf/core/dispatch/messages.py
+++ b/src/agateshelf/core/dispatch/messages.py
@@ -133,6 +133,7 @@
         retry_after: Seconds after which the caller should try again.
         waiting: Requests waiting at the owner.
         usable_targets: Targets that may currently get requests.
+        work: Estimated run time in seconds on an idle target of usual speed.
     """
 
     wire_name: ClassVar[str] = "TurnRefused"
@@ -142,6 +143,7 @@
     retry_after: float
     waiting: int = 0
     usable_targets: int = msgspec.field(name="usable", default=0)
+    work: float = 0.0
 
 
 class DispatchEnded(peer_models.PeerMessage, frozen=True):
--- a/src/agateshelf/core/dispatch/requester.py
+++ b/src/agateshelf/core/dispatch/requester.py
@@ -221,6 +221,7 @@
         log_details=(
             ("waiting", reply.waiting),
             ("usable_targets", reply.usable_targets),
+            ("work_ms", round(reply.work * 1000, 1)),
         ),
     )
     state.pending_events.append(decided)
