Average the measured work of runs instead of multiplying the estimate by their ratios

Cause: each end of a run multiplied the route's estimate of work by a factor of its ratio to what was expected at its grant. Runs in flight at once that end late together, as after an owner froze, multiplied it once each; a lasting slowdown of four times did the same. Above the deadline all requests are refused on arrival, no run ends, and it stays.

Ruled out: the queue (0 to 15 waiting) and two owners in turn (one estimate). Change: a run measures work in seconds, and the estimate is a moving average of that. If an estimate refuses all requests of a route and none of it runs, one request at a time is tried, and its run replaces the estimate. Why the pings of gone entries brought it out is suspected only: entries that froze are back as owners sooner. The fault doesn't need them.

--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -263,8 +263,9 @@
         # The mean of the log-normal distribution is `mean_work`.
         mu = math.log(kind.mean_work) - WORK_SIGMA**2 / 2
         self.actual_work[key] = self.rng.lognormvariate(mu, WORK_SIGMA)
+        initial_work = 0.4 * kind.soft_timeout
         work = self.dispatcher.work_estimates.setdefault(
-            kind.name, 0.4 * kind.soft_timeout
+            kind.name, initial_work
         )
         self.dispatcher.waiting[key] = models.Request(
             key=key,
@@ -272,6 +273,7 @@
             priority=kind.priority,
             idempotent=True,
             work=work,
+            initial_work=initial_work,
             arrived_at=now,
             soft_deadline=now + kind.soft_timeout,
             deadline=now + kind.timeout,
--- a/src/agateshelf/core/dispatch/const.py
+++ b/src/agateshelf/core/dispatch/const.py
@@ -7,7 +7,7 @@
 INITIAL_WORK_SHARE: Final = 0.4
 # Smoothing factor of the moving average of a route's run time.
 WORK_SMOOTHING: Final = 0.05
-# A measured run is clamped to within this factor of the current estimate.
+# A measurement is clamped to within this factor of the current estimate.
 WORK_OUTLIER_FACTOR: Final = 4.0
 # Factor by which work slows down on a contended target: the initial estimate,
 # its bounds and the smoothing factor of its moving average.
--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -227,6 +227,7 @@
         priority=message.priority,
         idempotent=message.idempotent,
         work=dispatcher.work_estimates.setdefault(message.route, message.work),
+        initial_work=message.work,
         arrived_at=now,
         soft_deadline=now + message.soft_timeout,
         deadline=now + message.timeout,
--- a/src/agateshelf/core/dispatch/estimates.py
+++ b/src/agateshelf/core/dispatch/estimates.py
@@ -49,20 +49,30 @@
 def record_run(
     dispatcher: models.Dispatcher, request: models.Request, seconds: float
 ) -> None:
-    """Update the estimates of work and of contention from a finished run."""
+    """Update the estimates of work and of contention from a finished run.
+
+    The work that a run took follows from the estimate as of its grant, so that
+    many runs in flight that end alike raise the estimate no further than one.
+    """
     work = dispatcher.work_estimates.get(request.route)
     if work is None or request.uncontended_seconds <= 0:
         return
+    # A run reported as longer than that was held up at the entry, not there.
+    seconds = min(seconds, request.deadline - request.granted_at)
     ratio = seconds / request.uncontended_seconds
+    if request.is_trial:
+        dispatcher.work_estimates[request.route] = request.work * ratio
+        return
     if request.contended:
         ratio = min(max(ratio, const.MIN_CONTENTION), const.MAX_CONTENTION)
         dispatcher.contention_factor += const.CONTENTION_SMOOTHING * (
             ratio - dispatcher.contention_factor
         )
         return
-    ratio = min(
-        max(ratio, 1 / const.WORK_OUTLIER_FACTOR), const.WORK_OUTLIER_FACTOR
+    measured = min(
+        max(request.work * ratio, work / const.WORK_OUTLIER_FACTOR),
+        work * const.WORK_OUTLIER_FACTOR,
     )
-    dispatcher.work_estimates[request.route] = work * (
-        1 + const.WORK_SMOOTHING * (ratio - 1)
+    dispatcher.work_estimates[request.route] = work + const.WORK_SMOOTHING * (
+        measured - work
     )
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -60,6 +60,7 @@
         priority: Rank of the request; 0 goes first.
         idempotent: Whether it may run more than once.
         work: Expected run time in seconds on an idle target of usual speed.
+        initial_work: The same before any run was measured.
         arrived_at: Time of arrival at the owner.
         soft_deadline: Time after which a response is late.
         deadline: Time at which the caller stops waiting.
@@ -75,6 +76,7 @@
         work_done: Estimated work done so far, in seconds on an idle target of
             usual speed.
         work_updated_at: Time as of which the work done is estimated.
+        is_trial: Whether its run replaces the estimate of work.
     """
 
     key: RequestKey
@@ -82,6 +84,7 @@
     priority: int
     idempotent: bool
     work: float
+    initial_work: float
     arrived_at: float
     soft_deadline: float
     deadline: float
@@ -95,6 +98,7 @@
     hedged: bool = False
     work_done: float = 0.0
     work_updated_at: float = 0.0
+    is_trial: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -221,6 +225,7 @@
         granted: Requests that were granted a target, by key.
         work_estimates: Estimated run time in seconds on an idle target of usual
             speed, by route.
+        trials: Latest trial of each route's estimate.
         contention_factor: Factor by which contention slows down work.
         retry_window: Attempts counted for the retry budget.
         last_request_at: Time of the latest request.
@@ -237,6 +242,7 @@
     waiting: dict[RequestKey, Request] = dataclasses.field(default_factory=dict)
     granted: dict[RequestKey, Request] = dataclasses.field(default_factory=dict)
     work_estimates: dict[str, float] = dataclasses.field(default_factory=dict)
+    trials: dict[str, RequestKey] = dataclasses.field(default_factory=dict)
     contention_factor: float = const.INITIAL_CONTENTION
     retry_window: RetryWindow = dataclasses.field(default_factory=RetryWindow)
     last_request_at: float = -math.inf
--- a/src/agateshelf/core/dispatch/scheduling.py
+++ b/src/agateshelf/core/dispatch/scheduling.py
@@ -141,10 +141,38 @@
     if not dispatcher.targets:
         return models.Refusal.NO_TARGET
     if now + request.work > request.deadline:
+        if _may_try(dispatcher, request, now):
+            _make_trial(dispatcher, request)
+            return None
         return models.Refusal.TOO_LATE
     return None
 
 
+def _may_try(
+    dispatcher: models.Dispatcher, request: models.Request, now: float
+) -> bool:
+    """Return whether a request should test an estimate that refuses it.
+
+    An estimate that is too high refuses all requests of a route, and without
+    runs it would never be corrected. One request at a time is tried then.
+    """
+    if request.is_trial or now + request.initial_work > request.deadline:
+        return False
+    trial = dispatcher.trials.get(request.route)
+    if trial in dispatcher.waiting or trial in dispatcher.granted:
+        return False
+    return not any(
+        granted.route == request.route
+        for granted in dispatcher.granted.values()
+    )
+
+
+def _make_trial(dispatcher: models.Dispatcher, request: models.Request) -> None:
+    request.is_trial = True
+    request.work = request.initial_work
+    dispatcher.trials[request.route] = request.key
+
+
 def _shed_late(
     dispatcher: models.Dispatcher,
     usable: abc.Sequence[models.TargetState],
