--- a/src/agateshelf/core/membership/const.py
+++ b/src/agateshelf/core/membership/const.py
@@ -23,6 +23,11 @@
 LEAVING_FANOUT: Final = 4
 # Rounds between two pings of an entry that is gone or not known yet.
 RECONNECT_EVERY_ROUNDS: Final = 5
+# For some time after an entry went, one is pinged in each round: it may have
+# been cut off and has to catch up soon after the partition heals.
+RECONNECT_SOON_SECONDS: Final = 60.0
+# Pings to such entries in each round while no other entry is live.
+RECONNECTS_IF_ALONE: Final = 4
 # Rounds after the start in which such a ping is sent each time: a seed that
 # did not answer may have been starting as well.
 STARTUP_ROUNDS: Final = 10
--- a/src/agateshelf/core/membership/gossip.py
+++ b/src/agateshelf/core/membership/gossip.py
@@ -92,6 +92,7 @@
             suspicion = models.SuspicionDue(record.entry, record.incarnation)
             timers.schedule(state.timers, at, suspicion)
         case models.Status.GONE:
+            state.membership.last_gone_at = now
             at = now + const.GONE_RETENTION_SECONDS
             removal = models.RemovalDue(record.entry, record.incarnation)
             timers.schedule(state.timers, at, removal)
--- a/src/agateshelf/core/membership/models.py
+++ b/src/agateshelf/core/membership/models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from agateshelf.core.membership import const
 
@@ -120,6 +121,9 @@
             change.
         sync_interval: Interval until the next state sync, in seconds.
         seed_addresses: Addresses of the seeds, by entry.
+        reconnect_order: Entries that are gone or unknown and are still to be
+            pinged in the current cycle.
+        last_gone_at: When an entry was last found to be gone, in seconds.
         last_ping_number: Number of the latest ping.
         probe_rounds: Number of probe rounds so far.
     """
@@ -144,6 +148,8 @@
     sync_found_changes: bool = False
     sync_interval: float = const.INITIAL_SYNC_INTERVAL_SECONDS
     seed_addresses: dict[str, str] = dataclasses.field(default_factory=dict)
+    reconnect_order: list[str] = dataclasses.field(default_factory=list)
+    last_gone_at: float = -math.inf
     last_ping_number: int = 0
     probe_rounds: int = 0
 
--- a/src/agateshelf/core/membership/probing.py
+++ b/src/agateshelf/core/membership/probing.py
@@ -4,6 +4,7 @@
 through other entries as well, so that lost messages alone don't remove it.
 """
 
+from collections import abc
 import dataclasses
 
 from agateshelf.core import effects
@@ -27,12 +28,10 @@
     emitted: list[effects.Effect] = []
     for entry in _entries_to_probe(state):
         emitted.extend(ping(state, now, entry))
-    is_starting = membership.probe_rounds <= const.STARTUP_ROUNDS
-    if (
-        is_starting
-        or membership.probe_rounds % const.RECONNECT_EVERY_ROUNDS == 0
-    ):
-        emitted.extend(_ping_reconnect_candidate(state, now))
+    candidates = reconnect_candidates(state)
+    for entry in _entries_to_reconnect(state, now, candidates):
+        emitted.append(effects.AddPeer(entry, candidates[entry]))
+        emitted.extend(ping(state, now, entry))
     return emitted
 
 
@@ -89,19 +88,43 @@
     return [effects.SendToPeers((entry,), message)]
 
 
-def _ping_reconnect_candidate(
-    state: core_state.State, now: float
-) -> list[effects.Effect]:
-    """Ping a random entry that is not a member or is gone.
+def _entries_to_reconnect(
+    state: core_state.State, now: float, candidates: abc.Collection[str]
+) -> list[str]:
+    """Return entries to ping that are not members or are gone, in turn.
 
-    It may have started since, or be reachable again after a partition.
+    They may have started since, or be reachable again after a partition. An
+    entry without live neighbours may be the one that was cut off.
     """
-    candidates = reconnect_candidates(state)
-    if not candidates:
+    membership = state.membership
+    is_alone = not view.neighbours(state)
+    is_due = (
+        is_alone
+        or membership.probe_rounds <= const.STARTUP_ROUNDS
+        or now - membership.last_gone_at < const.RECONNECT_SOON_SECONDS
+        or membership.probe_rounds % const.RECONNECT_EVERY_ROUNDS == 0
+    )
+    if not is_due:
         return []
-    entry = state.rng.choice(sorted(candidates))
-    add_peer = effects.AddPeer(entry, candidates[entry])
-    return [add_peer, *ping(state, now, entry)]
+    count = const.RECONNECTS_IF_ALONE if is_alone else 1
+    entries = [
+        _next_to_reconnect(state, candidates)
+        for _ in range(min(count, len(candidates)))
+    ]
+    return list(dict.fromkeys(entries))
+
+
+def _next_to_reconnect(
+    state: core_state.State, candidates: abc.Collection[str]
+) -> str:
+    order = state.membership.reconnect_order
+    while order:
+        entry = order.pop()
+        if entry in candidates:
+            return entry
+    order.extend(sorted(candidates))
+    state.rng.shuffle(order)
+    return order.pop()
 
 
 def reconnect_candidates(state: core_state.State) -> dict[str, str]:
