Keep withheld requests in the platform's store, for when all entries are lost at once

Cause: crashes lived in the entries' memory alone, and with all entries nobody was left to tell them. Cost: two calls a reader and withheld request, one stale read a start.

--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -336,6 +336,7 @@
         has_store: Whether the platform's store keeps a configuration of
             services for this entry.
         has_feed: Whether this entry follows routes and registrations.
+        unix_time: Unix time of the event in seconds.
     """
 
     incarnation: int
@@ -343,6 +344,7 @@
     seeds: tuple[membership_models.Seed, ...] = ()
     has_store: bool = True
     has_feed: bool = False
+    unix_time: float = 0.0
 
 
 class PeerVersionReported(msgspec.Struct, frozen=True):
--- a/src/agateshelf/core/poison/const.py
+++ b/src/agateshelf/core/poison/const.py
@@ -40,4 +40,13 @@
 # it: before, it is the one that catches up.
 RELAY_AFTER_ROUNDS: Final = 3
 
+# Keys of withheld requests in the store, each followed by a fingerprint.
+KEY_PREFIX: Final = "agateshelf/withheld/"
+STORE_TIMEOUT_SECONDS: Final = 1.5
+STORE_RETRY_SECONDS: Final = 0.5
+MAX_STORE_RETRY_SECONDS: Final = 4.0
+# Time for which requests are written under a lease granted before. Their keys
+# end so much earlier than their crashes.
+LEASE_REUSE_SECONDS: Final = 30.0
+
 REASON_POISONOUS: Final = "request-crashes-targets"
--- a/src/agateshelf/core/poison/models.py
+++ b/src/agateshelf/core/poison/models.py
@@ -124,6 +124,55 @@
 PoisonTimer = TargetCheckDue | ReportsDue
 
 
+class StoreUse(enum.Enum):
+    """What a request to the store is for."""
+
+    LOAD = "load"
+    LOAD_STALE = "load stale"
+    LEASE = "lease"
+    WRITE = "write"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingStoreRequest:
+    """A request to the store without an answer yet.
+
+    Attributes:
+        number: Number of the request.
+        use: What it is for.
+        fingerprint: Fingerprint of the request that is written, if any.
+    """
+
+    number: int
+    use: StoreUse
+    fingerprint: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class StoringState:
+    """State of keeping withheld requests in the store.
+
+    Attributes:
+        pending: The request to the store under way, one at a time.
+        loaded: Whether this reader has read what is stored.
+        has_changes: Whether a request may be withheld that is not stored.
+        stored: Fingerprints known to be stored.
+        lease: Lease under which requests are written.
+        leased_at: When it was granted, in seconds.
+        failures: Failed requests to the store in a row.
+        retry_at: Time before which no request is sent, in seconds.
+    """
+
+    pending: PendingStoreRequest | None = None
+    loaded: bool = False
+    has_changes: bool = False
+    stored: set[bytes] = dataclasses.field(default_factory=set)
+    lease: str | None = None
+    leased_at: float = -math.inf
+    failures: int = 0
+    retry_at: float = -math.inf
+
+
 @dataclasses.dataclass(slots=True)
 class PoisonState:
     """Suspects, sends in flight and losses of this entry, all bounded.
@@ -143,6 +192,7 @@
         digest: Digest of all crashes; None when it must be computed again.
         next_expiry: Earliest time at which a crash expires, in seconds.
         process_nonce: Random text that tells this process from others.
+        storing: State of keeping withheld requests in the store.
     """
 
     suspects: collections.OrderedDict[bytes, Suspect] = dataclasses.field(
@@ -166,3 +216,4 @@
     digest: int | None = 0
     next_expiry: float = 0.0
     process_nonce: str = ""
+    storing: StoringState = dataclasses.field(default_factory=StoringState)
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -105,6 +105,7 @@
     state: core_state.State, now: float, event: events.Started
 ) -> Effects:
     state.feed.enabled = event.has_feed
+    state.unix_offset = event.unix_time - now
     emitted = membership.on_started(state, now, event)
     emitted.extend(_mode_reducer(state).on_started(state, now, event))
     return emitted
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -16,6 +16,7 @@
 from agateshelf.core.forwarding import completion
 from agateshelf.core.forwarding import lifecycle
 from agateshelf.core.poison import evidence
+from agateshelf.core.poison import persistence
 
 Effects = list[effects.Effect]
 
@@ -78,7 +79,12 @@
         case events.FeedAnswered():
             return reading.on_answer(state, now, event)
         case feed_models.FeedDue():
-            return feed.on_due(state, now)
+            return [
+                *feed.on_due(state, now),
+                *persistence.on_due(state, now),
+            ]
+        case events.StoreAnswered():
+            return _on_store_answer(state, now, event)
         case feed_models.WatchResumeDue():
             return reading.on_watch_resume_due(state, event)
         case feed_models.ReaderResigned():
@@ -96,7 +102,10 @@
             owners.clear_rankings(state)
             return dispatchers.on_entries(state, now)
         case events.CrashesChanged():
-            return lifecycle.on_crashes_changed(state, now, event)
+            return [
+                *lifecycle.on_crashes_changed(state, now, event),
+                *persistence.on_crashes_changed(state, now),
+            ]
         case events.StopDeadlinePassed():
             return lifecycle.on_stop_deadline(state, now)
         case events.PeerVersionReported():
@@ -105,6 +114,15 @@
             return [effects.Count("events.not_awaited")]
 
 
+def _on_store_answer(
+    state: core_state.State, now: float, event: events.StoreAnswered
+) -> Effects:
+    emitted = persistence.on_answer(state, now, event)
+    if emitted is None:
+        return [effects.Count("events.not_awaited")]
+    return emitted
+
+
 def on_message(
     state: core_state.State, now: float, event: events.PeerMessageReceived
 ) -> Effects | None:
@@ -125,7 +143,7 @@
 ) -> Effects:
     """Start to follow routes and registrations."""
     del event
-    return feed.on_started(state, now)
+    return [*feed.on_started(state, now), *persistence.on_started(state)]
 
 
 def on_stop(state: core_state.State, now: float) -> Effects:
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -57,6 +57,7 @@
             are reduced before the reducer returns.
         last_store_request: Number of the latest request to the store.
         stopping: Whether a graceful stop has begun.
+        unix_offset: Unix time less the loop's time at the start, in seconds.
         cfg: The services' configuration in force.
     """
 
@@ -90,6 +91,7 @@
     )
     last_store_request: int = 0
     stopping: bool = False
+    unix_offset: float = 0.0
     cfg: "configuration_models.Configuration" = dataclasses.field(init=False)
     calls: "call_models.CallsState" = dataclasses.field(init=False)
     routing: "routing_models.RoutingState" = dataclasses.field(init=False)
--- a/src/agateshelf/core/storage.py
+++ b/src/agateshelf/core/storage.py
@@ -14,11 +14,19 @@
 
 
 class Range(msgspec.Struct, frozen=True):
-    """Read up to `limit` keys under a prefix, in order, after a key."""
+    """Read up to `limit` keys under a prefix, in order, after a key.
+
+    Attributes:
+        prefix: Prefix of the keys.
+        after: Key after which to start.
+        limit: Largest number of keys.
+        stale: Whether the answer may be some seconds old.
+    """
 
     prefix: str
     after: str = ""
     limit: int = 1000
+    stale: bool = False
 
 
 class CompareAndSwap(msgspec.Struct, frozen=True):
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -63,8 +63,7 @@
         exchanges: Calls whose callers wait for the final response.
         targets: Client of the targets.
         metrics: Counters and timings.
-        store: Client of the platform's store; None for an entry that follows
-            routes.
+        store: Client of the platform's store, if it is used.
         feed: Client of the platform's feed of routes and targets; None for an
             entry that serves services.
         prober: Probes targets for their load.
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -174,7 +174,9 @@
 ) -> None:
     """Set up an entry that follows the routes in the platform's store."""
     driver.targets.dialect = dialect.DIALECT
-    driver.feed = feed.FeedClient(client.Client(cfg.platform.store))
+    store_client = client.Client(cfg.platform.store)
+    driver.feed = feed.FeedClient(store_client)
+    driver.store = store.StoreClient(store_client)
     driver.prober = probing.Prober(dialect.DIALECT)
     driver.state.dispatch.bounds = reloading.bounds_of(routes)
 
@@ -196,11 +198,21 @@
     """Create the first event for the reducer."""
     has_feed = cfg.routes is not None
     if cfg.peers is None or peers is None:
-        return events.Started(epoch, has_store=not has_feed, has_feed=has_feed)
+        return events.Started(
+            epoch,
+            has_store=not has_feed,
+            has_feed=has_feed,
+            unix_time=time.time(),
+        )
     seeds = reloading.seeds_of(cfg)
     address = cfg.peers.advertised or peers.address
     return events.Started(
-        epoch, address, seeds, has_store=not has_feed, has_feed=has_feed
+        epoch,
+        address,
+        seeds,
+        has_store=not has_feed,
+        has_feed=has_feed,
+        unix_time=time.time(),
     )
 
 
--- a/src/agateshelf/platform/store.py
+++ b/src/agateshelf/platform/store.py
@@ -80,7 +80,11 @@
         self, body: storage.Range, timeout: float
     ) -> storage.StoreAnswer:
         page = await self.client.read_range(
-            body.prefix, timeout, after=body.after, limit=body.limit
+            body.prefix,
+            timeout,
+            after=body.after,
+            limit=body.limit,
+            stale=body.stale,
         )
         if isinstance(page, fetching.NoResponse):
             return _to_failure(page, page.reason)
--- a/tests/core/crash_fleet.py
+++ b/tests/core/crash_fleet.py
@@ -287,7 +287,12 @@
         )
         incarnation = 1 + self.incarnations[name]
         started = events.Started(
-            incarnation, name, contacts, has_store=False, has_feed=True
+            incarnation,
+            name,
+            contacts,
+            has_store=False,
+            has_feed=True,
+            unix_time=self.now,
         )
         self.post(node, started)
 
--- a/tests/core/routed_fleet.py
+++ b/tests/core/routed_fleet.py
@@ -14,12 +14,14 @@
 from agateshelf.core import events
 from agateshelf.core import reducer
 from agateshelf.core import state as core_state
+from agateshelf.core import storage
 from agateshelf.core import timers
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.feed import models as feed_models
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.routes import models as route_models
+from bench import fakestore
 
 MESSAGE_SECONDS = 0.002
 STORE_SECONDS = 0.004
@@ -108,6 +110,8 @@
         self.changes = []
         self.watches = []
         self.store_calls = 0
+        self.store = fakestore.FakeStore()
+        self.store_requests = []
         self.sends = collections.defaultdict(list)
         self.run_seconds = 0.1
         self.script = None
@@ -128,7 +132,12 @@
         contact = membership_models.Seed(seed, seed)
         for node in self.nodes.values():
             started = events.Started(
-                1, node.name, (contact,), has_store=False, has_feed=True
+                1,
+                node.name,
+                (contact,),
+                has_store=False,
+                has_feed=True,
+                unix_time=self.now,
             )
             self.post(node, started)
 
@@ -177,6 +186,10 @@
                 self.store_calls += 1
                 pause = effect.timeout if node.store_silent else STORE_SECONDS
                 self.at(self.now + pause, self._read, node, effect)
+            case effects.SendStoreRequest():
+                self.store_requests.append(effect.body)
+                pause = effect.timeout if node.store_silent else STORE_SECONDS
+                self.at(self.now + pause, self._answer_store, node, effect)
             case effects.WatchFeed():
                 self.store_calls += 1
                 self.watches.append((node, effect))
@@ -201,6 +214,12 @@
             return
         self.post(node, events.PeerMessageReceived(sender.name, message))
 
+    def _answer_store(self, node, effect):
+        answer = storage.NoAnswer()
+        if not node.store_silent:
+            answer = self.store.answer(effect.body, self.now)
+        self.post(node, events.StoreAnswered(effect.request, answer))
+
     def _read(self, node, effect):
         if node.store_silent:
             answer = feed_models.Unavailable("no answer")
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -52,6 +52,12 @@
     assert part.more
 
 
+def test_range_may_be_read_from_an_old_copy(execute):
+    execute(storage.CompareAndSwap("p/1", 0, b"1"))
+    page = execute(storage.Range("p/", stale=True))
+    assert [item.key for item in page.key_values] == ["p/1"]
+
+
 def test_watch_returns_changed_keys(execute):
     execute(storage.CompareAndSwap("a/1", 0, b"1"))
     execute(storage.CompareAndSwap("b", 0, b"1"))
