--- a/tests/core/crash_fleet.py
+++ b/tests/core/crash_fleet.py
@@ -46,6 +46,8 @@
             identifier, and accepts connections all the while.
         TAKEN_OVER: Connections are reset; its registration goes after 5 ms, and
             another target has its address.
+        RESET_SILENT: Connections are reset, then nothing is answered, as by a
+            machine that goes dark; it is back after 6 s.
         GONE_SILENT: Nothing is answered, and it never comes back.
     """
 
@@ -54,6 +56,7 @@
     REBORN = "reborn"
     TAKEN_OVER = "taken over"
     GONE_SILENT = "gone silent"
+    RESET_SILENT = "reset, then silent"
 
 
 _DOWN_SECONDS = {
@@ -61,8 +64,9 @@
     Ending.SILENT: 6.0,
     Ending.REBORN: 0.05,
     Ending.TAKEN_OVER: 0.005,
+    Ending.RESET_SILENT: 6.0,
 }
-_SILENT = (Ending.SILENT, Ending.GONE_SILENT)
+_SILENT = (Ending.SILENT, Ending.GONE_SILENT, Ending.RESET_SILENT)
 
 
 @dataclasses.dataclass
@@ -227,7 +231,7 @@
         elif is_marked:
             if not self.loses_answers:
                 self._crash(process)
-            if self.ending not in _SILENT:
+            if self.ending not in (Ending.SILENT, Ending.GONE_SILENT):
                 end = routed_fleet.failed(effect.attempt, routed_fleet.RESET)
                 self.at(self.now + RESET_SECONDS, self.post, node, end)
         else:
