Tests that fail: targets that name limits get many times as much

Of three targets that named 1 request a second one got 141 in 4 s (11 allowed), of four that named 3 one got 143 (23 allowed). The soak draws such targets in half of its plans, and checks what each gets from entries that it had told.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -209,6 +209,8 @@
     headers = dict(head.headers)
     call.status = head.status_code
     call.has_retry_after = b"retry-after" in headers
+    if b"x-response-signature" in headers:
+        call.answered_by = headers.get(b"x-instance-id", b"").decode()
     if call.status == 200:
         call.verified = _is_valid_response(call, headers, body)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -132,8 +132,8 @@
     target: int
     seconds: float
     option: str
-    value: float | bool
-    usual: float | bool
+    value: float | bool | str
+    usual: float | bool | str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -220,6 +220,23 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NameLimits:
+    """Makes targets of a service name a limit for some seconds.
+
+    Attributes:
+        parity: Remainder of the numbers of the service's targets, divided by 2.
+        count: Number of its targets that do.
+        rate: Requests a second that each of them names.
+        seconds: How long they do.
+    """
+
+    parity: int
+    count: int
+    rate: float
+    seconds: float
+
+
 Fault = (
     StopEntry
     | KillEntry
@@ -237,6 +254,7 @@
     | Burst
     | CrashingRequest
     | ShedService
+    | NameLimits
 )
 
 
@@ -274,9 +292,11 @@
     Mode.CUT_BACK,
     Mode.RESET,
 )
-# Shares of plans with a crashing request, and with a service that sheds.
+# Shares of plans with a crashing request, with a service that sheds, and with
+# targets that name limits.
 CRASHING_SHARE = 0.6
 SHED_SHARE = 0.4
+LIMITS_SHARE = 0.5
 _PLANNED_OPERATIONS = (StopEntry, HangUp, DrainTarget, NewTable, Burst)
 
 
@@ -292,7 +312,11 @@
         (at, _draw_fault(rng, entries, targets, planned_only=planned_only))
         for at in times
     )
-    faults = (*faults, *_draw_load(seed, seconds))
+    faults = (
+        *faults,
+        *_draw_load(seed, seconds),
+        *_draw_limits(seed, targets, seconds),
+    )
     ordered = sorted(faults, key=lambda timed: timed[0])
     return Plan(seed, entries, targets, seconds, tuple(ordered))
 
@@ -316,6 +340,23 @@
     return drawn
 
 
+def _draw_limits(
+    seed: int, targets: int, seconds: float
+) -> list[tuple[float, Fault]]:
+    """Draw targets that name limits, with a generator of its own as well."""
+    rng = random.Random(f"{seed}/limits")
+    if rng.random() >= LIMITS_SHARE:
+        return []
+    at = rng.uniform(0.0, seconds / 4)
+    limits = NameLimits(
+        parity=rng.randrange(2),
+        count=rng.randint(1, targets // 2),
+        rate=rng.choice((0.5, 1.0, 3.0, 8.0)),
+        seconds=seconds - at,
+    )
+    return [(at, limits)]
+
+
 def _draw_fault(
     rng: random.Random, entries: int, targets: int, *, planned_only: bool
 ) -> Fault:
--- a/soak/history.py
+++ b/soak/history.py
@@ -27,6 +27,7 @@
         disconnected: Whether the caller disconnected without waiting for a
             response.
         has_retry_after: Whether the response has a `Retry-After` header.
+        answered_by: Target that produced the response; empty for none.
     """
 
     id: str
@@ -41,6 +42,7 @@
     verified: bool = False
     disconnected: bool = False
     has_retry_after: bool = False
+    answered_by: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +64,23 @@
     end: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A limit that a target named. Times are Unix times in seconds.
+
+    Attributes:
+        target: Name of the target.
+        rate: Requests a second that it named.
+        begin: When it began to name it.
+        end: When it stopped.
+    """
+
+    target: str
+    rate: float
+    begin: float
+    end: float
+
+
 @dataclasses.dataclass(slots=True)
 class History:
     """All observations of a run. Times are Unix times in seconds.
@@ -72,6 +91,7 @@
             ends.
         table_written_at: When the store acknowledged each version of the route
             table, by version.
+        named_limits: Limits that targets named.
         exit_errors: Sentences on entries that exited unexpectedly, too late or
             with an error.
         ledger: Lines of the targets' ledger.
@@ -82,6 +102,7 @@
     calls: list[Call] = dataclasses.field(default_factory=list)
     fault_windows: list[FaultWindow] = dataclasses.field(default_factory=list)
     table_written_at: dict[int, float] = dataclasses.field(default_factory=dict)
+    named_limits: list[NamedLimit] = dataclasses.field(default_factory=list)
     exit_errors: list[str] = dataclasses.field(default_factory=list)
     ledger: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     faults_over_at: float = 0.0
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -15,6 +15,7 @@
 from soak import callers
 from soak import cluster as cluster_lib
 from soak import faults
+from soak import history as history_lib
 from soak import invariants
 
 # Time that an entry may take to exit beyond its grace period.
@@ -56,6 +57,17 @@
                 )
         case faults.HangUp():
             await _reload_settings(cluster.entries[fault.entry], fault.times)
+        case faults.BreakLink():
+            await _break_link(cluster, fault)
+        case _:
+            await _inject_elsewhere(cluster, fault)
+
+
+async def _inject_elsewhere(
+    cluster: cluster_lib.Cluster, fault: faults.Fault
+) -> None:
+    """Inject a fault of targets, of the store or of the callers' load."""
+    match fault:
         case faults.DrainTarget():
             await _drain_target(
                 cluster, cluster.targets[fault.target], fault.seconds
@@ -81,14 +93,14 @@
             await _change_option(cluster, "store", -1, cluster.store, fault)
         case faults.Lapse():
             await _delete_registrations(cluster)
-        case faults.BreakLink():
-            await _break_link(cluster, fault)
         case faults.NewTable():
             await curio.run_in_thread(cluster.write_table)
         case faults.CrashingRequest():
             await _repeat_crashing_request(cluster, fault)
         case faults.ShedService():
             await _shed_service(cluster, fault)
+        case faults.NameLimits():
+            await _name_limits(cluster, fault)
         case faults.Burst():
             cluster.rate_factor *= 4.0
             await curio.sleep(fault.seconds)
@@ -277,6 +289,31 @@
             )
 
 
+async def _name_limits(
+    cluster: cluster_lib.Cluster, fault: faults.NameLimits
+) -> None:
+    async with curio.TaskGroup() as group:
+        for target in cluster.targets[fault.parity :: 2][: fault.count]:
+            await group.spawn(_name_limit, cluster, target, fault)
+
+
+async def _name_limit(
+    cluster: cluster_lib.Cluster,
+    target: cluster_lib.Target,
+    fault: faults.NameLimits,
+) -> None:
+    """Let a target name a limit; one that ends meanwhile no longer does."""
+    begin = time.time()
+    name, process = target.name, target.process
+    change = faults.ChangeTarget(
+        target.number, fault.seconds, "named_limit", str(fault.rate), ""
+    )
+    await _change_option(cluster, "limit", target.number, process, change)
+    cluster.history.named_limits.append(
+        history_lib.NamedLimit(name, fault.rate, begin, time.time())
+    )
+
+
 async def _change_option(
     cluster: cluster_lib.Cluster,
     kind: str,
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -41,6 +41,15 @@
 MAX_CRASHES = 3
 LATE_SECONDS = 3.0
 MAX_LATE_SENDS = 3
+# From LIMIT_GRACE_SECONDS after a target first named a limit, it gets in any
+# LIMIT_WINDOW_SECONDS at most LIMIT_FACTOR times what that allows and
+# LIMIT_EXTRA more, from entries that had passed on an answer of it for
+# LIMIT_TOLD_SECONDS.
+LIMIT_GRACE_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+LIMIT_TOLD_SECONDS = 0.5
 # Share of requests that are served after the recovery.
 MIN_SERVED_SHARE = 0.9
 
@@ -66,6 +75,7 @@
         _excess_attempts,
         _excess_retries,
         _late_crashing_sends,
+        _sends_over_limits,
         _missing_recovery,
         _missing_retry_after,
     )
@@ -362,6 +372,73 @@
     return violations
 
 
+def _sends_over_limits(history: history_lib.History) -> list[str]:
+    """Find targets that got more than the limit that they had named.
+
+    Sends of entries that were cut off or not running shortly before don't
+    count.
+    """
+    call_of = {call.id: call for call in history.calls}
+    violations = []
+    for limit in history.named_limits:
+        told = _told_at(history, limit)
+        times = []
+        for line in history.ledger:
+            call = call_of.get(line.get("id", ""))
+            if (
+                line["kind"] == "arrived"
+                and line["by"] == limit.target
+                and limit.begin + LIMIT_GRACE_SECONDS <= line["at"] <= limit.end
+                and call is not None
+                and _counts_for_limit(history, told, call, line["at"])
+            ):
+                times.append(line["at"])
+        allowed = LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_SECONDS + LIMIT_EXTRA
+        most = max(
+            (
+                sum(at - LIMIT_WINDOW_SECONDS < other <= at for other in times)
+                for at in times
+            ),
+            default=0,
+        )
+        if most > allowed:
+            violations.append(
+                f"{limit.target} named {limit.rate} a second and got {most} in "
+                f"{LIMIT_WINDOW_SECONDS} s; allowed {allowed:g}"
+            )
+    return violations
+
+
+def _told_at(
+    history: history_lib.History, limit: history_lib.NamedLimit
+) -> dict[int, float]:
+    """Return when each process of an entry passed on the first such answer."""
+    told: dict[int, float] = {}
+    for call in history.calls:
+        if call.answered_by != limit.target or call.ended_at is None:
+            continue
+        # An answer that was under way when the limit was set may lack it.
+        if not limit.begin + LIMIT_TOLD_SECONDS < call.ended_at < limit.end:
+            continue
+        at = min(told.get(call.process_id, call.ended_at), call.ended_at)
+        told[call.process_id] = at
+    return told
+
+
+def _counts_for_limit(
+    history: history_lib.History,
+    told: dict[int, float],
+    call: history_lib.Call,
+    at: float,
+) -> bool:
+    told_at = told.get(call.process_id)
+    if told_at is None or at < told_at + LIMIT_TOLD_SECONDS:
+        return False
+    begin = at - SETTLING_SECONDS
+    own = ("entry", "stop", "link")
+    return not _is_fault_active(history, begin, at, kinds=own, index=call.entry)
+
+
 def _missing_recovery(history: history_lib.History) -> list[str]:
     """Check the share of requests served once the last fault is over.
 
--- a/src/agateshelf_standins/member.py
+++ b/src/agateshelf_standins/member.py
@@ -204,6 +204,8 @@
         }
         if "x-request-id" in request.headers:
             headers["X-Request-Id"] = request.headers["x-request-id"]
+            if self.options.named_limit:
+                headers["Server-Limit"] = self.options.named_limit
         return headers
 
     def _not_run_response(
--- a/src/agateshelf_standins/target.py
+++ b/src/agateshelf_standins/target.py
@@ -44,6 +44,8 @@
             the one that set it, get no responses.
         crash_mark: Value of the `Crash-Mark` header of a request that ends the
             process; empty for none.
+        named_limit: Value of the `Server-Limit` header of a member's responses;
+            empty for no header.
         refusal_mark: Header, as `Name: value`, of the response to a request
             that did not run; empty for none.
     """
@@ -60,6 +62,7 @@
     load_lie: float = 1
     silent: bool = False
     crash_mark: str = ""
+    named_limit: str = ""
     refusal_mark: str = ""
 
 
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -160,3 +160,50 @@
 def test_a_seed_always_gives_the_same_plan():
     assert faults.create_plan(7) == faults.create_plan(7)
     assert faults.create_plan(7) != faults.create_plan(8)
+
+
+def create_limit_history(sends, *, told_at=105.0, **changes):
+    """Create a history of a target that named a limit of 1 a second."""
+    telling = create_call(
+        "told",
+        idempotent=True,
+        sent_at=told_at - 0.1,
+        ended_at=told_at,
+        answered_by="t0",
+    )
+    calls = [create_call(f"s{n}", idempotent=True) for n in range(sends)]
+    arrivals = [
+        ledger_line(f"s{n}", 110.0 + n / 10, "arrived") for n in range(sends)
+    ]
+    history = create_history(telling, *calls, ledger=arrivals, **changes)
+    limit = history_lib.NamedLimit("t0", 1.0, 100.0, 130.0)
+    history.named_limits.append(limit)
+    return history
+
+
+@pytest.mark.parametrize(
+    ("history", "violations"),
+    [
+        (create_limit_history(11), 0),
+        (create_limit_history(12), 1),
+        # Not told, or told less than half a second before.
+        (create_limit_history(12, told_at=111.2), 0),
+        (
+            create_limit_history(
+                12,
+                fault_windows=[history_lib.FaultWindow("entry", 0, 108, 111)],
+            ),
+            0,
+        ),
+        (
+            create_limit_history(
+                12,
+                fault_windows=[history_lib.FaultWindow("entry", 1, 108, 111)],
+            ),
+            1,
+        ),
+    ],
+)
+def test_sends_over_a_named_limit_are_found(history, violations):
+    found = invariants.find_violations(history)
+    assert len([line for line in found if "named" in line]) == violations
