Keep the limits that targets name, over all entries and at every send

Cause: no line read the header. Change: the adapter decodes the header; what answers say travels with the ends of sends, with grants and with the first request to another owner, at no message of its own; owners have a token bucket for each limited target; shares while entries lose the owner or each other; requests without room are refused at once, with the time to come back. Ruled out: shares of each entry (a thirteenth of one a second serves nobody), loans, a broadcast.

--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -183,6 +183,17 @@
             ),
         ),
     ),
+    Mutation(
+        "target-limits",
+        "named",
+        (
+            Edit(
+                f"{_CORE}/target_limits/pacing.py",
+                "return pace.tokens >= 1.0",
+                "return True",
+            ),
+        ),
+    ),
     Mutation(
         "recovery",
         "after the last fault",
--- a/src/agateshelf/core/dispatch/const.py
+++ b/src/agateshelf/core/dispatch/const.py
@@ -120,5 +120,10 @@
 # anyway.
 MAX_LATE_PER_SLOT: Final = 1.0
 
+# Bounds of the time after which a request may come back that limited targets
+# left no room for.
+MIN_ROOM_RETRY_AFTER_SECONDS: Final = 0.05
+MAX_ROOM_RETRY_AFTER_SECONDS: Final = 5.0
+
 RETRY_AFTER_SECONDS: Final = 1.0
 RETRY_AFTER_JITTER: Final = 0.5
--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -14,6 +14,7 @@
 from agateshelf.core.dispatch import const
 from agateshelf.core.dispatch import estimates
 from agateshelf.core.dispatch import hedging
+from agateshelf.core.dispatch import limiting
 from agateshelf.core.dispatch import messages
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import owners
@@ -23,6 +24,7 @@
 from agateshelf.core.dispatch import scheduling
 from agateshelf.core.dispatch import target_health
 from agateshelf.core.peers import models as peer_models
+from agateshelf.core.target_limits import records as limit_records
 
 Effects = list[effects.Effect]
 
@@ -142,13 +144,15 @@
 ) -> Effects:
     dispatcher = get_dispatcher(state, now, message.service)
     dispatcher.last_request_at = now
+    for limit in message.limits:
+        limit_records.merge(state, now, limit)
     if peer != state.identity.entry:
         dispatcher.last_peer_request_at = now
     emitted = sampler_assignment.ensure_sampling(state, now, dispatcher)
     key = (peer, message.number)
     granted = dispatcher.granted.get(key)
     if granted is not None and granted.target in dispatcher.targets:
-        reply = _granted_message(dispatcher, granted, now)
+        reply = _granted_message(state, dispatcher, granted, now)
         return [*emitted, *owners.send(state, peer, reply)]
     if key not in dispatcher.waiting:
         if message.tried and not _try_consume_retry(state, now, dispatcher):
@@ -167,7 +171,10 @@
 
 
 def _granted_message(
-    dispatcher: models.Dispatcher, request: models.Request, now: float
+    state: core_state.State,
+    dispatcher: models.Dispatcher,
+    request: models.Request,
+    now: float,
 ) -> messages.DispatchGranted:
     target = dispatcher.targets[request.target or ""]
     return messages.DispatchGranted(
@@ -177,6 +184,7 @@
         speed=target.speed,
         speed_age=min(now - target.reported_at, const.NEVER_REPORTED_SECONDS),
         outstanding=target.outstanding - 1,
+        limit=limit_records.statement_of(state, now, target.registration.id),
     )
 
 
@@ -243,6 +251,8 @@
     ended: messages.DispatchEnded,
 ) -> Effects:
     key = (peer, ended.number)
+    if ended.limit is not None:
+        limit_records.merge(state, now, ended.limit)
     for dispatcher in state.dispatch.dispatchers.values():
         if dispatcher.waiting.pop(key, None) is not None:
             return []
@@ -337,6 +347,7 @@
     state: core_state.State, now: float, dispatcher: models.Dispatcher
 ) -> Effects:
     """Decide on the waiting requests and notify the requesting entries."""
+    limiting.update_paces(state, now, dispatcher)
     emitted: Effects = []
     for decision in scheduling.decide(dispatcher, now, state.rng):
         emitted.extend(_notify(state, now, dispatcher, decision))
@@ -382,7 +393,7 @@
     entry, number = decision.request.key
     match decision:
         case scheduling.Grant():
-            granted = _granted_message(dispatcher, decision.request, now)
+            granted = _granted_message(state, dispatcher, decision.request, now)
             return owners.send(state, entry, granted)
         case scheduling.Refuse():
             refused = messages.DispatchRefused(
@@ -392,5 +403,6 @@
                 decision.waiting,
                 decision.usable,
                 decision.request.work,
+                decision.limited,
             )
             return owners.send(state, entry, refused)
--- a/src/agateshelf/core/dispatch/messages.py
+++ b/src/agateshelf/core/dispatch/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from agateshelf.core.peers import models as peer_models
+from agateshelf.core.target_limits import models as target_limit_models
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -60,7 +61,7 @@
     loads: tuple[TargetLoad, ...]
 
 
-class DispatchRequest(peer_models.PeerMessage, frozen=True):
+class DispatchRequest(peer_models.PeerMessage, frozen=True, omit_defaults=True):
     """Requests a target. Sending it again with the same number is idempotent.
 
     Attributes:
@@ -75,6 +76,7 @@
             latency.
         timeout: Seconds until the caller stops waiting.
         tried: Targets that the request was already sent to.
+        limits: Limits of the service's targets that the owner may not know.
     """
 
     wire_name: ClassVar[str] = "TurnAsked"
@@ -88,6 +90,7 @@
     soft_timeout: float = msgspec.field(name="aim")
     timeout: float = msgspec.field(name="give_up")
     tried: tuple[str, ...] = ()
+    limits: tuple[target_limit_models.NamedLimit, ...] = ()
 
 
 class DispatchQueued(peer_models.PeerMessage, frozen=True):
@@ -102,7 +105,7 @@
     number: int = msgspec.field(name="ask")
 
 
-class DispatchGranted(peer_models.PeerMessage, frozen=True):
+class DispatchGranted(peer_models.PeerMessage, frozen=True, omit_defaults=True):
     """Grants a request a target.
 
     Attributes:
@@ -112,6 +115,8 @@
         speed: Speed that the target last reported; 1 is the usual speed.
         speed_age: Seconds since that report.
         outstanding: Other requests that the target holds.
+        limit: What the owner knows of the target's limit. If it has a rate, the
+            owner counted the request for it.
     """
 
     wire_name: ClassVar[str] = "TurnGiven"
@@ -122,9 +127,10 @@
     speed: float = 1.0
     speed_age: float = msgspec.field(name="heard", default=0.0)
     outstanding: int = msgspec.field(name="held", default=0)
+    limit: target_limit_models.NamedLimit | None = None
 
 
-class DispatchRefused(peer_models.PeerMessage, frozen=True):
+class DispatchRefused(peer_models.PeerMessage, frozen=True, omit_defaults=True):
     """Refuses a request a target.
 
     Attributes:
@@ -134,6 +140,8 @@
         waiting: Requests waiting at the owner.
         usable_targets: Targets that may currently get requests.
         work: Estimated run time in seconds on an idle target of usual speed.
+        limited_targets: Those of them that named a limit, if these left no room
+            for the request.
     """
 
     wire_name: ClassVar[str] = "TurnRefused"
@@ -144,9 +152,10 @@
     waiting: int = 0
     usable_targets: int = msgspec.field(name="usable", default=0)
     work: float = 0.0
+    limited_targets: int = 0
 
 
-class DispatchEnded(peer_models.PeerMessage, frozen=True):
+class DispatchEnded(peer_models.PeerMessage, frozen=True, omit_defaults=True):
     """Reports how a request ended, or cancels it.
 
     Attributes:
@@ -159,6 +168,7 @@
         queued: Requests queued at the target by its response. The owner does
             not read it.
         slowness: Factor by which work took longer there than usual.
+        limit: What the answer said of the target's limit, if it has named one.
     """
 
     wire_name: ClassVar[str] = "TurnEnded"
@@ -169,3 +179,4 @@
     running: int | None = None
     queued: int = 0
     slowness: float = 1.0
+    limit: target_limit_models.NamedLimit | None = None
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -8,6 +8,7 @@
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.dispatch import const
 from agateshelf.core.dispatch import messages
+from agateshelf.core.target_limits import models as target_limit_models
 
 RequestKey = tuple[str, int]
 
@@ -121,6 +122,8 @@
         open_until: Time until which its circuit breaker is open.
         next_open_seconds: Seconds for which the breaker opens next.
         unanswered_probes: Consecutive probes without a response.
+        pace: Keeps the grants within the limit that it names; None if it names
+            none.
     """
 
     registration: directory_models.Registration
@@ -139,6 +142,7 @@
     open_until: float = -math.inf
     next_open_seconds: float = const.INITIAL_OPEN_SECONDS
     unanswered_probes: int = 0
+    pace: target_limit_models.Pace | None = None
 
     @property
     def outstanding(self) -> int:
@@ -235,6 +239,11 @@
         excluded_samplers: Times until which entries are not assigned as
             samplers, by entry.
         next_check_at: Time of the earliest scheduled check.
+        next_return_at: Time before which no further refused request is told to
+            come back, while targets name limits.
+        paced: Targets that have a pace.
+        role: What this entry was to the service when paces were last set.
+        paced_at: When paces were last set, in seconds.
     """
 
     service: str
@@ -255,6 +264,10 @@
         default_factory=dict
     )
     next_check_at: float = math.inf
+    next_return_at: float = -math.inf
+    paced: set[str] = dataclasses.field(default_factory=set)
+    role: target_limit_models.Role | None = None
+    paced_at: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agateshelf/core/dispatch/requester.py
+++ b/src/agateshelf/core/dispatch/requester.py
@@ -15,6 +15,7 @@
 from agateshelf.core.dispatch import owners
 from agateshelf.core.forwarding import models as forwarding_models
 from agateshelf.core.peers import models as peer_models
+from agateshelf.core.target_limits import records as limit_records
 
 Effects = list[effects.Effect]
 
@@ -58,6 +59,9 @@
         soft_timeout=call.soft_deadline - now,
         timeout=call.deadline - now,
         tried=tuple(sorted(call.tried)),
+        limits=limit_records.take_untold(
+            state, now, pending.owner, call.service
+        ),
     )
     return owners.send(state, pending.owner, message)
 
@@ -116,6 +120,7 @@
         case messages.DispatchQueued():
             return _on_queued(state, now, peer, message)
         case messages.DispatchGranted():
+            _merge_limit(state, now, peer, message)
             return _on_granted(state, peer, message)
         case messages.DispatchRefused():
             return _on_refused(state, peer, message)
@@ -123,6 +128,23 @@
             return None
 
 
+def _merge_limit(
+    state: core_state.State,
+    now: float,
+    owner: str,
+    reply: messages.DispatchGranted,
+) -> None:
+    if reply.limit is None:
+        return
+    limit_records.merge(state, now, reply.limit)
+    if reply.limit.rate == limit_records.active_rate(state, reply.target):
+        limit_records.mark_told(state, owner, reply.target)
+
+
+def _is_counted(reply: messages.DispatchGranted) -> bool:
+    return reply.limit is not None and reply.limit.rate is not None
+
+
 def _on_queued(
     state: core_state.State,
     now: float,
@@ -158,6 +180,7 @@
         peer,
         reply.target,
         log_details=_grant_log_details(reply),
+        is_counted=_is_counted(reply),
     )
     state.pending_events.append(decided)
     return []
@@ -180,6 +203,7 @@
                 peer,
                 reply.target,
                 log_details=_grant_log_details(reply),
+                is_counted=_is_counted(reply),
             )
         )
         return []
@@ -222,7 +246,9 @@
             ("waiting", reply.waiting),
             ("usable_targets", reply.usable_targets),
             ("work_ms", round(reply.work * 1000, 1)),
+            ("limited_targets", reply.limited_targets),
         ),
+        is_limited=reply.limited_targets > 0,
     )
     state.pending_events.append(decided)
     return []
--- a/src/agateshelf/core/dispatch/scheduling.py
+++ b/src/agateshelf/core/dispatch/scheduling.py
@@ -8,17 +8,20 @@
 of other requests and by its error rate. If there is none, it waits. Requests
 that can still be in time go first, by priority and then by the latest time at
 which they must start. Late requests use the remaining slots. A request that
-can't be served before its caller gives up is refused at once.
+can't be served before its caller gives up is refused at once; while targets
+name limits, that follows from the times at which these leave room again.
 """
 
 from collections import abc
 import dataclasses
+import heapq
 import random
 
 from agateshelf.core.dispatch import const
 from agateshelf.core.dispatch import estimates
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import target_health
+from agateshelf.core.target_limits import pacing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +47,8 @@
         retry_after: Seconds after which the caller should try again.
         waiting: Number of requests still waiting.
         usable: Number of targets that may currently get requests.
+        limited: Number of these that named a limit, if their limits left no
+            room for the request.
     """
 
     request: models.Request
@@ -51,6 +56,7 @@
     retry_after: float
     waiting: int = 0
     usable: int = 0
+    limited: int = 0
 
 
 Decision = Grant | Refuse
@@ -91,9 +97,13 @@
     count: int
 
 
-def _find_free_slots(usable: abc.Sequence[models.TargetState]) -> FreeSlots:
+def _find_free_slots(
+    usable: abc.Sequence[models.TargetState], now: float
+) -> FreeSlots:
     free_slots = FreeSlots([], 0, 0)
     for target in usable:
+        if not _is_within_limit(target, now):
+            continue
         slots = target.registration.slots
         free = slots - target.outstanding
         free_slots.total += slots
@@ -103,9 +113,16 @@
     return free_slots
 
 
-def _take_slot(free_slots: FreeSlots, target: models.TargetState) -> None:
+def _is_within_limit(target: models.TargetState, now: float) -> bool:
+    return target.pace is None or pacing.may_send(target.pace, now)
+
+
+def _take_slot(
+    free_slots: FreeSlots, target: models.TargetState, now: float
+) -> None:
     free_slots.count -= 1
-    if target.outstanding >= target.registration.slots:
+    is_full = target.outstanding >= target.registration.slots
+    if is_full or not _is_within_limit(target, now):
         free_slots.targets.remove(target)
 
 
@@ -117,9 +134,10 @@
     if not dispatcher.waiting:
         return []
     usable = usable_targets(dispatcher, now)
-    free_slots = _find_free_slots(usable)
+    free_slots = _find_free_slots(usable, now)
     emitted: list[Decision] = []
     late: list[models.Request] = []
+    ungranted: list[models.Request] = []
     for request in _by_urgency(dispatcher, now):
         refusal = _refusal_reason(dispatcher, request, now)
         if refusal is not None:
@@ -128,13 +146,146 @@
         target = _select_target(dispatcher, free_slots, request, now, rng)
         if target is not None:
             emitted.append(grant(dispatcher, request, target, now))
-            _take_slot(free_slots, target)
-        elif is_unavoidably_late(request, now):
+            _take_slot(free_slots, target, now)
+            continue
+        ungranted.append(request)
+        if is_unavoidably_late(request, now):
             late.append(request)
     emitted.extend(_shed_late(dispatcher, usable, late, rng))
+    emitted.extend(
+        _refuse_without_room(dispatcher, usable, ungranted, now, rng)
+    )
     return emitted
 
 
+def _refuse_without_room(
+    dispatcher: models.Dispatcher,
+    usable: abc.Sequence[models.TargetState],
+    ungranted: abc.Sequence[models.Request],
+    now: float,
+    rng: random.Random,
+) -> list[Decision]:
+    """Refuse requests for which limited targets leave no room in time.
+
+    Answers the load of a service whose targets name limits below its requests.
+    The callers are told to come back one after the other, when there is room.
+
+    Args:
+        dispatcher: The dispatcher of the service.
+        usable: The targets that may get requests now.
+        ungranted: Requests that were not granted, the most urgent first; those
+            refused meanwhile are left out.
+        now: Current time in seconds.
+        rng: Random number generator.
+    """
+    waiting = [r for r in ungranted if r.key in dispatcher.waiting]
+    limited = sum(target.pace is not None for target in usable)
+    if not limited or not waiting:
+        return []
+    work = sum(request.work for request in waiting) / len(waiting)
+    turnovers = [_turnover_of(target, work, now) for target in usable]
+    starts = _expected_starts(turnovers)
+    start = next(starts)
+    refused: list[models.Request] = []
+    # Requests that can be in time take all the room while some are refused, so
+    # that others would wait for nothing.
+    only_in_time = dispatcher.next_return_at > now
+    for request in waiting:
+        end = request.soft_deadline if only_in_time else request.deadline
+        if start + request.work > end:
+            refused.append(request)
+        else:
+            start = next(starts)
+    gap = 1.0 / sum(1.0 / turnover.interval for turnover in turnovers)
+    emitted: list[Decision] = []
+    for request in refused:
+        del dispatcher.waiting[request.key]
+        emitted.append(
+            Refuse(
+                request,
+                models.Refusal.OVERLOAD,
+                _reserve_return(dispatcher, start, gap, now, rng) - now,
+                waiting=len(dispatcher.waiting),
+                usable=len(usable),
+                limited=limited,
+            )
+        )
+    return emitted
+
+
+def _reserve_return(
+    dispatcher: models.Dispatcher,
+    start: float,
+    gap: float,
+    now: float,
+    rng: random.Random,
+) -> float:
+    """Return the time at which a refused request may come back.
+
+    Args:
+        dispatcher: The dispatcher of the service.
+        start: Time from which there is room.
+        gap: Seconds between two requests that the targets can start.
+        now: Current time in seconds.
+        rng: Random number generator.
+    """
+    at = max(
+        start,
+        dispatcher.next_return_at,
+        now + const.MIN_ROOM_RETRY_AFTER_SECONDS,
+    )
+    latest = now + const.MAX_ROOM_RETRY_AFTER_SECONDS
+    if at > latest:
+        return now + const.MAX_ROOM_RETRY_AFTER_SECONDS * rng.uniform(0.5, 1.0)
+    dispatcher.next_return_at = at + gap
+    return at
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Turnover:
+    """How fast a target can start requests.
+
+    Attributes:
+        first: Time of the next start.
+        interval: Seconds between two starts.
+    """
+
+    first: float
+    interval: float
+
+
+def _turnover_of(
+    target: models.TargetState, work: float, now: float
+) -> _Turnover:
+    """Return how fast a target can start requests.
+
+    Args:
+        target: The target.
+        work: Expected run time of a request in seconds on an idle target of
+            usual speed.
+        now: Current time in seconds.
+    """
+    slots = target.registration.slots
+    interval = estimates.uncontended_seconds(target, work, now) / slots
+    first = now if target.outstanding < slots else now + interval
+    if target.pace is not None:
+        first = max(first, pacing.next_at(target.pace, now))
+        interval = max(interval, 1.0 / target.pace.rate)
+    return _Turnover(first, interval)
+
+
+def _expected_starts(
+    turnovers: abc.Sequence[_Turnover],
+) -> abc.Iterator[float]:
+    """Yield the times at which targets can start requests, in order."""
+    upcoming = [(t.first, i, t.interval) for i, t in enumerate(turnovers)]
+    heapq.heapify(upcoming)
+    while True:
+        at, number, interval = upcoming[0]
+        yield at
+        heapq.heapreplace(upcoming, (at + interval, number, interval))
+
+
 def _refusal_reason(
     dispatcher: models.Dispatcher, request: models.Request, now: float
 ) -> models.Refusal | None:
@@ -180,7 +331,7 @@
     rng: random.Random,
 ) -> list[Decision]:
     """Refuse late requests beyond what the targets could still serve."""
-    slots = sum(target.registration.slots for target in usable)
+    slots = sum(_slots_for_late(target) for target in usable)
     limit = int(const.MAX_LATE_PER_SLOT * slots)
     return [
         _refuse(dispatcher, request, models.Refusal.OVERLOAD, usable, rng)
@@ -188,6 +339,13 @@
     ]
 
 
+def _slots_for_late(target: models.TargetState) -> float:
+    slots = target.registration.slots
+    if target.pace is None:
+        return slots
+    return min(slots, target.pace.rate)
+
+
 def _by_urgency(
     dispatcher: models.Dispatcher, now: float
 ) -> list[models.Request]:
@@ -246,7 +404,7 @@
     candidates = [
         _evaluate(dispatcher, target, request, now)
         for target in targets
-        if _can_take(target, request)
+        if _can_take(target, request, now)
     ]
     in_time = [
         c for c in candidates if now + c.seconds * const.RUN_TIME_MARGIN <= end
@@ -306,19 +464,28 @@
     return delayed * const.DELAY_PENALTY_SECONDS
 
 
-def _can_take(target: models.TargetState, request: models.Request) -> bool:
+def _can_take(
+    target: models.TargetState, request: models.Request, now: float
+) -> bool:
     if target.registration.id in request.tried:
         return False
-    return target.outstanding < target.registration.slots
+    if target.outstanding >= target.registration.slots:
+        return False
+    return _is_within_limit(target, now)
 
 
 def idle_target(
     dispatcher: models.Dispatcher, request: models.Request, now: float
 ) -> models.TargetState | None:
-    """Return the uncontended target in time with the lowest cost, or None."""
+    """Return the uncontended target in time with the lowest cost, or None.
+
+    What a limited target takes is left to requests that have no other.
+    """
     best: Candidate | None = None
     for target in usable_targets(dispatcher, now):
-        if estimates.would_contend(target, 1) or not _can_take(target, request):
+        if target.pace is not None or estimates.would_contend(target, 1):
+            continue
+        if not _can_take(target, request, now):
             continue
         candidate = _evaluate(dispatcher, target, request, now)
         if (
@@ -348,6 +515,8 @@
         dispatcher.contention_factor if request.contended else 1.0
     )
     request.work_updated_at = now
+    if target.pace is not None:
+        pacing.take(target.pace, now)
     target.requests[request.key] = request
     dispatcher.waiting.pop(request.key, None)
     dispatcher.granted[request.key] = request
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -91,6 +91,9 @@
         body: The body if it is complete and small enough to be replayed.
         not_run: Whether the target reported that it did not run the request.
         misdirected: Whether the address now belongs to another target.
+        limit: Requests a second that the target takes from all entries
+            together, if it named a limit.
+        invalid_limit: The limit that it named if it is not valid.
     """
 
     attempt: int
@@ -102,6 +105,8 @@
     body: bytes | None = None
     not_run: bool = False
     misdirected: bool = False
+    limit: float | None = None
+    invalid_limit: str = ""
 
 
 class TargetRefused(msgspec.Struct, frozen=True):
@@ -481,6 +486,8 @@
         reason: Reason of a refusal.
         retry_after: Seconds after which a retry may succeed.
         log_details: The owner's data on the target, for the log.
+        is_counted: Whether the owner counted it for the target's limit.
+        is_limited: Whether the limits that targets named left no room for it.
     """
 
     call: int
@@ -490,6 +497,8 @@
     reason: dispatch_models.Refusal = dispatch_models.Refusal.NO_TARGET
     retry_after: float = 0.0
     log_details: tuple[tuple[str, float], ...] = ()
+    is_counted: bool = False
+    is_limited: bool = False
 
 
 class TargetChosen(msgspec.Struct, frozen=True):
--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -16,6 +16,7 @@
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import verdicts
 from agateshelf.core.poison import sends
+from agateshelf.core.target_limits import records as target_limits
 
 Effects = list[effects.Effect]
 Verdict = outcome_models.Verdict
@@ -33,11 +34,12 @@
         attempt.running = event.load.in_flight
         attempt.queued = event.load.queued
         attempt.slowness = event.load.slowness
+    emitted = _note_limit(state, now, attempt, event)
     if event.streaming:
-        return _deliver_stream(state, now, call, attempt)
+        return [*emitted, *_deliver_stream(state, now, call, attempt)]
     ending = _ending_of(event)
     ended = lifecycle.end_attempt(state, now, event.attempt, ending)
-    emitted = [] if ended is None else ended[2]
+    emitted.extend([] if ended is None else ended[2])
     emitted.append(_log_event_of(call, attempt, event, now))
     call.verdict = max(call.verdict, _verdict_of(event))
     emitted.extend(
@@ -68,6 +70,22 @@
     return emitted
 
 
+def _note_limit(
+    state: core_state.State,
+    now: float,
+    attempt: models.Attempt,
+    event: events.AttemptAnswered,
+) -> Effects:
+    """Record what an answer says of its target's limit, to tell the owner."""
+    if event.misdirected:
+        return []
+    emitted = target_limits.on_answer(state, now, attempt.target, event)
+    if not event.invalid_limit:
+        attempt.limit = target_limits.statement_of(state, now, attempt.target)
+        target_limits.mark_told(state, attempt.owner, attempt.target)
+    return emitted
+
+
 def _ending_of(event: events.AttemptAnswered) -> dispatch_models.Ending:
     if event.misdirected:
         return dispatch_models.Ending.MISPLACED
--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -21,6 +21,8 @@
 from agateshelf.core.routes import matching
 from agateshelf.core.routes import models as route_models
 from agateshelf.core.routes import splitting
+from agateshelf.core.target_limits import gate
+from agateshelf.core.target_limits import records as target_limits
 
 Effects = list[effects.Effect]
 
@@ -145,6 +147,8 @@
         if is_hedge:
             return emitted
         return [*emitted, *requester.request_dispatch(state, now, call)]
+    if not gate.may_send(state, now, event.target, is_counted=event.is_counted):
+        return _on_uncounted_grant(state, now, call, event)
     refusal = sends.start(
         state,
         now,
@@ -156,24 +160,53 @@
         if call.attempts:
             return emitted
         return [*emitted, *give_up(state, now, call, refusal)]
+    return _start_attempt(state, now, call, registration, event)
+
+
+def _on_uncounted_grant(
+    state: core_state.State,
+    now: float,
+    call: models.Call,
+    event: events.DispatchDecided,
+) -> Effects:
+    """Tell the owner of the limits and ask it again, once."""
+    target_limits.mark_untold(state, event.owner)
+    emitted = _release_grant(state, event, dispatch_models.Ending.NEUTRAL)
+    emitted.append(effects.Count("limit.uncounted_grants"))
+    if call.attempts:
+        return emitted
+    call.uncounted_grants += 1
+    if call.uncounted_grants <= const.MAX_UNCOUNTED_GRANTS:
+        return [*emitted, *requester.request_dispatch(state, now, call)]
+    refusal = refusals.targets_limited(call)
+    return [*emitted, *give_up(state, now, call, refusal)]
+
+
+def _start_attempt(
+    state: core_state.State,
+    now: float,
+    call: models.Call,
+    registration: directory_models.Registration,
+    event: events.DispatchDecided,
+) -> Effects:
     state.forwarding.last_attempt += 1
     attempt = models.Attempt(
         number=state.forwarding.last_attempt,
         call=call.number,
-        target=event.target,
+        target=registration.id,
         started=now,
         owner=event.owner,
         dispatch_number=event.dispatch_number,
     )
     state.forwarding.attempts[attempt.number] = attempt
     call.attempts.add(attempt.number)
-    call.tried.add(event.target)
+    call.tried.add(registration.id)
     call.attempt_count += 1
     return [
         effects.StartAttempt(
             call=call.number,
             attempt=attempt.number,
-            target=event.target,
+            target=registration.id,
             address=registration.address,
             timeout=call.deadline - now,
             fresh=not call.route.idempotent,
@@ -185,7 +218,7 @@
             (
                 ("attempt", attempt.number),
                 ("service", call.service),
-                ("target", event.target),
+                ("target", registration.id),
                 ("home", event.owner),
                 ("send", call.attempt_count),
                 ("waited_ms", _milliseconds(now - call.arrived)),
@@ -257,6 +290,8 @@
     if call.attempts:
         return []
     refusal = refusals.not_granted(call, event.reason, event.retry_after)
+    if event.is_limited:
+        refusal = refusals.targets_limited(call, event.retry_after)
     return give_up(state, now, call, refusal, event.log_details)
 
 
@@ -279,6 +314,7 @@
         running=attempt.running,
         queued=attempt.queued,
         slowness=attempt.slowness,
+        limit=attempt.limit,
     )
     return call, attempt, owners.send(state, attempt.owner, ended)
 
--- a/src/agateshelf/core/forwarding/refusals.py
+++ b/src/agateshelf/core/forwarding/refusals.py
@@ -62,6 +62,23 @@
     )
 
 
+def targets_limited(
+    call: models.Call, retry_after: float = const.RETRY_AFTER_SECONDS
+) -> outcome_models.Refusal:
+    """Return the refusal of a call for which limited targets have no room.
+
+    Args:
+        call: The call.
+        retry_after: Seconds after which there may be room.
+    """
+    return _refusal(
+        call,
+        const.REASON_TARGETS_LIMITED,
+        "The targets named limits that leave no room before the deadline.",
+        retry_after,
+    )
+
+
 def target_failed(call: models.Call) -> outcome_models.Refusal:
     """Return the refusal of a call whose last attempt failed."""
     return _refusal(
--- a/src/agateshelf/core/membership/gossip.py
+++ b/src/agateshelf/core/membership/gossip.py
@@ -92,19 +92,28 @@
             suspicion = models.SuspicionDue(record.entry, record.incarnation)
             timers.schedule(state.timers, at, suspicion)
         case models.Status.GONE:
-            state.membership.last_gone_at = now
+            _record_loss(state, now, known)
             at = now + const.GONE_RETENTION_SECONDS
             removal = models.RemovalDue(record.entry, record.incarnation)
             timers.schedule(state.timers, at, removal)
             return [effects.DisconnectPeer(record.entry)]
         case _:
-            pass
+            state.membership.lost_at.pop(record.entry, None)
     is_joining = known is None or known.status is models.Status.GONE
     if is_joining or (known is not None and known.address != record.address):
         return [effects.AddPeer(record.entry, record.address)]
     return []
 
 
+def _record_loss(
+    state: core_state.State, now: float, known: models.Member | None
+) -> None:
+    membership = state.membership
+    membership.last_gone_at = now
+    if known is not None and known.status is not models.Status.LEAVING:
+        membership.lost_at[known.entry] = now
+
+
 def queue_update(state: core_state.State, entry: str) -> None:
     """Queue an entry's record for gossip.
 
@@ -186,5 +195,6 @@
         return []
     if known.status is models.Status.GONE:
         del state.membership.members[event.entry]
+        state.membership.lost_at.pop(event.entry, None)
         state.membership.remaining_transmissions.pop(event.entry, None)
     return []
--- a/src/agateshelf/core/membership/models.py
+++ b/src/agateshelf/core/membership/models.py
@@ -123,6 +123,7 @@
         seed_addresses: Addresses of the seeds, by entry.
         reconnect_order: Entries that are gone or unknown and are still to be
             pinged in the current cycle.
+        lost_at: When entries went without having left, in seconds, by entry.
         last_gone_at: When an entry was last found to be gone, in seconds.
         last_ping_number: Number of the latest ping.
         probe_rounds: Number of probe rounds so far.
@@ -149,6 +150,7 @@
     sync_interval: float = const.INITIAL_SYNC_INTERVAL_SECONDS
     seed_addresses: dict[str, str] = dataclasses.field(default_factory=dict)
     reconnect_order: list[str] = dataclasses.field(default_factory=list)
+    lost_at: dict[str, float] = dataclasses.field(default_factory=dict)
     last_gone_at: float = -math.inf
     last_ping_number: int = 0
     probe_rounds: int = 0
--- a/src/agateshelf/core/membership/view.py
+++ b/src/agateshelf/core/membership/view.py
@@ -39,6 +39,12 @@
     state.pending_events.append(events.LiveEntriesChanged(live))
 
 
+def count_lost(state: core_state.State, now: float, within: float) -> int:
+    """Return how many entries went within some seconds without having left."""
+    lost_at = state.membership.lost_at.values()
+    return sum(now - at < within for at in lost_at)
+
+
 def failure_domain_of(state: core_state.State, entry: str) -> str | None:
     """Return the failure domain of an entry, or None if it is not known."""
     if entry == state.identity.entry:
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -17,6 +17,7 @@
 from agateshelf.core.forwarding import lifecycle
 from agateshelf.core.poison import evidence
 from agateshelf.core.poison import persistence
+from agateshelf.core.target_limits import records as target_limits
 
 Effects = list[effects.Effect]
 
@@ -93,6 +94,7 @@
             owners.clear_rankings(state)
             return dispatchers.start_owned(state, now)
         case events.TargetsChanged():
+            target_limits.on_targets_changed(state, event)
             return [
                 *evidence.on_targets_changed(state, now, event),
                 *sampling.on_targets_changed(state, event),
@@ -100,6 +102,7 @@
             ]
         case events.LiveEntriesChanged():
             owners.clear_rankings(state)
+            target_limits.on_entries(state, event)
             return dispatchers.on_entries(state, now)
         case events.CrashesChanged():
             return [
--- a/src/agateshelf/daemon/dialect.py
+++ b/src/agateshelf/daemon/dialect.py
@@ -11,6 +11,7 @@
 from agateshelf.core import events
 
 ParseLoad = abc.Callable[[bytes], events.TargetLoad | None]
+ParseLimit = abc.Callable[[bytes], float | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +27,9 @@
         target: Identifier of the target that responds.
         load: Load report of the target that responds.
         parse_load: Parses the value of `load`; returns None if it is invalid.
+        limit: Requests a second that the target that responds takes from all
+            entries together.
+        parse_limit: Parses the value of `limit`; returns None if it is invalid.
         adds_proxy_headers: Whether `Via` and `Forwarded` are added.
         allows_close_delimited: Whether the end of the connection may mark the
             end of a response (RFC 9112, section 6.3).
@@ -41,6 +45,8 @@
     target: bytes
     load: bytes
     parse_load: ParseLoad
+    limit: bytes
+    parse_limit: ParseLimit
     adds_proxy_headers: bool
     allows_close_delimited: bool
     fractional_retry_after: bool
@@ -51,6 +57,11 @@
     return None
 
 
+def _no_limit(value: bytes) -> float | None:
+    del value
+    return None
+
+
 DEFAULT = Dialect(
     timeout_ms=const.HEADER_TIMEOUT_MS.encode(),
     request_id=b"",
@@ -60,6 +71,8 @@
     target=b"",
     load=b"",
     parse_load=_no_load,
+    limit=b"",
+    parse_limit=_no_limit,
     adds_proxy_headers=True,
     allows_close_delimited=False,
     fractional_retry_after=False,
--- a/src/agateshelf/daemon/targets/load.py
+++ b/src/agateshelf/daemon/targets/load.py
@@ -1,4 +1,4 @@
-"""Reads the load and state that targets report with their answers."""
+"""Reads the load, limit and state that targets report with their answers."""
 
 import re
 
@@ -15,6 +15,7 @@
 )
 _TARGET_STATE = const.HEADER_TARGET_STATE.encode()
 _STATUS_MISDIRECTED_REQUEST = 421
+_EMPTY_TEXT = "(empty)"
 
 
 def event_of(
@@ -38,6 +39,7 @@
         elif name == _TARGET_STATE:
             draining = value == _DRAINING
         headers.append((name.decode("latin-1"), value.decode("latin-1")))
+    limit, invalid_limit = _limit_of(answer, dialect)
     return events.AttemptAnswered(
         attempt=answer.attempt,
         status=answer.status,
@@ -48,9 +50,29 @@
         body=_recordable_body(answer),
         not_run=not_run,
         misdirected=not_run and answer.status == _STATUS_MISDIRECTED_REQUEST,
+        limit=limit,
+        invalid_limit=invalid_limit,
     )
 
 
+def _limit_of(
+    answer: answers.Answer, dialect: daemon_dialect.Dialect
+) -> tuple[float | None, str]:
+    """Return the limit that an answer names, and its text if it is invalid."""
+    values = [
+        value
+        for name, value in answer.headers
+        if dialect.limit and name == dialect.limit
+    ]
+    if not values:
+        return None, ""
+    limit = dialect.parse_limit(values[0]) if len(values) == 1 else None
+    if limit is None:
+        text = b", ".join(values).decode("latin-1")
+        return None, text or _EMPTY_TEXT
+    return limit, ""
+
+
 def _recordable_body(answer: answers.Answer) -> bytes | None:
     whole = answer.source is None
     if whole and len(answer.body) <= claim_const.MAX_RECORDED_BODY_BYTES:
--- a/src/agateshelf/platform/dialect.py
+++ b/src/agateshelf/platform/dialect.py
@@ -1,4 +1,4 @@
-"""Headers of the platform and the format of its load reports."""
+"""Headers of the platform and the formats of its load reports and limits."""
 
 import re
 
@@ -7,6 +7,7 @@
 from agateshelf.platform import const
 
 _NUMBER = rb" *([0-9]{1,9}(?:\.[0-9]{1,9})?) *"
+_LIMIT = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 _LOAD = re.compile(rb",".join([_NUMBER] * 3) + rb"(?:," + _NUMBER + rb")?")
 
 
@@ -31,6 +32,13 @@
     )
 
 
+def parse_limit(value: bytes) -> float | None:
+    """Parse a limit like `1.5` requests a second; None if it is not valid."""
+    if _LIMIT.fullmatch(value) is None:
+        return None
+    return float(value)
+
+
 DIALECT = dialect.Dialect(
     timeout_ms=b"x-deadline-ms",
     request_id=b"x-request-id",
@@ -40,6 +48,8 @@
     target=b"x-instance-id",
     load=b"x-server-load",
     parse_load=parse_load,
+    limit=b"server-limit",
+    parse_limit=parse_limit,
     adds_proxy_headers=False,
     allows_close_delimited=True,
     fractional_retry_after=True,
