Test that fails: a store that comes back from an older copy is read endlessly

The stand-in of the store makes backups and comes back from them, with Store-Era in all its answers; its members write their draining again. The soak draws such a fault in 3 of 10 plans.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -93,6 +93,7 @@
         targets: The targets, by number.
         rate_factor: Factor on the callers' request rate; set by `Burst`, but no
             caller reads it.
+        store_era: How often the store came back from an older copy.
     """
 
     directory: pathlib.Path
@@ -103,6 +104,7 @@
     entries: list[Entry] = dataclasses.field(default_factory=list)
     targets: list[Target] = dataclasses.field(default_factory=list)
     rate_factor: float = 1.0
+    store_era: int = 0
 
     @property
     def ledger_path(self) -> pathlib.Path:
@@ -116,6 +118,24 @@
         member.write_route_table(self.store.address, table)
         self.history.table_written_at[version] = time.time()
 
+    def rewrite_table(self) -> None:
+        """Write the latest version of the route table again."""
+        version = max(self.history.table_written_at)
+        member.write_route_table(self.store.address, _create_table(version))
+
+    def expire_registrations(self) -> None:
+        """Delete the registrations of targets that are not running."""
+        running = {target.name for target in self.targets if not target.down}
+        for key in system.read_keys(self.store.address, "servers/"):
+            if key.removeprefix("servers/") not in running:
+                system.write_key(self.store.address, key, None)
+
+    def count_store_reads(self) -> int:
+        """Return the number of reads and watches that the store got."""
+        _, body = system.request(self.store.address, "GET", "/control/calls")
+        counts: dict[str, int] = json.loads(body)
+        return sum(counts.get(kind, 0) for kind in ("get", "range", "watch"))
+
     def add_fault_window(self, kind: str, index: int, begin: float) -> None:
         """Record a fault that ends now."""
         end = time.time()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -153,6 +153,13 @@
     usual: float | bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreStore:
+    """Brings the store back from a copy that is some seconds old."""
+
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lapse:
     """Deletes the registrations of all targets, as if they had expired.
@@ -248,6 +255,7 @@
     | PauseTarget
     | ChangeTarget
     | ChangeStore
+    | RestoreStore
     | Lapse
     | BreakLink
     | NewTable
@@ -297,6 +305,8 @@
 CRASHING_SHARE = 0.6
 SHED_SHARE = 0.4
 LIMITS_SHARE = 0.5
+# Share of plans in which the store comes back from an older copy.
+RESTORE_SHARE = 0.3
 _PLANNED_OPERATIONS = (StopEntry, HangUp, DrainTarget, NewTable, Burst)
 
 
@@ -316,6 +326,7 @@
         *faults,
         *_draw_load(seed, seconds),
         *_draw_limits(seed, targets, seconds),
+        *_draw_restore(seed, seconds),
     )
     ordered = sorted(faults, key=lambda timed: timed[0])
     return Plan(seed, entries, targets, seconds, tuple(ordered))
@@ -357,6 +368,14 @@
     return [(at, limits)]
 
 
+def _draw_restore(seed: int, seconds: float) -> list[tuple[float, Fault]]:
+    rng = random.Random(f"{seed}/restore")
+    if rng.random() >= RESTORE_SHARE:
+        return []
+    at = rng.uniform(0.0, seconds / 2)
+    return [(at, RestoreStore(rng.uniform(1.0, MAX_FAULT_SECONDS)))]
+
+
 def _draw_fault(
     rng: random.Random, entries: int, targets: int, *, planned_only: bool
 ) -> Fault:
--- a/soak/history.py
+++ b/soak/history.py
@@ -95,6 +95,7 @@
         exit_errors: Sentences on entries that exited unexpectedly, too late or
             with an error.
         ledger: Lines of the targets' ledger.
+        store_calls: Reads and watches of the store by the entries.
         faults_over_at: When the last fault was over.
         ended_at: When the callers were stopped.
     """
@@ -105,5 +106,6 @@
     named_limits: list[NamedLimit] = dataclasses.field(default_factory=list)
     exit_errors: list[str] = dataclasses.field(default_factory=list)
     ledger: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    store_calls: int = 0
     faults_over_at: float = 0.0
     ended_at: float = 0.0
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -28,6 +28,8 @@
 # How long a crashed target refuses connections, or answers nothing.
 _REFUSED_SECONDS = 2.0
 _DARK_SECONDS = 4.0
+# How long the store is away before it comes back from an older copy.
+_AWAY_SECONDS = 0.3
 # Three heartbeats of a target.
 _EXPIRY_SECONDS = 1.5
 
@@ -91,6 +93,8 @@
             )
         case faults.ChangeStore():
             await _change_option(cluster, "store", -1, cluster.store, fault)
+        case faults.RestoreStore():
+            await _restore_store(cluster, fault.seconds)
         case faults.Lapse():
             await _delete_registrations(cluster)
         case faults.NewTable():
@@ -336,6 +340,23 @@
     system.set_options(process, **{option: value})
 
 
+async def _restore_store(cluster: cluster_lib.Cluster, seconds: float) -> None:
+    """Restore an older copy; operator and targets write theirs again."""
+    era = cluster.store_era + 1
+    await curio.run_in_thread(_set_option, cluster.store, "backups", era)
+    await curio.sleep(seconds)
+    begin = time.time()
+    await curio.run_in_thread(_set_option, cluster.store, "outage", True)
+    await curio.sleep(_AWAY_SECONDS)
+    await curio.run_in_thread(_set_option, cluster.store, "era", era)
+    cluster.store_era = era
+    await curio.run_in_thread(_set_option, cluster.store, "outage", False)
+    await curio.run_in_thread(cluster.rewrite_table)
+    await curio.sleep(_EXPIRY_SECONDS)
+    await curio.run_in_thread(cluster.expire_registrations)
+    cluster.add_fault_window("store", -1, begin)
+
+
 async def _delete_registrations(cluster: cluster_lib.Cluster) -> None:
     begin = time.time()
     for target in cluster.targets:
--- a/soak/main.py
+++ b/soak/main.py
@@ -52,6 +52,7 @@
         for task in tasks:
             await task.cancel()
         history.ended_at = time.time()
+        history.store_calls = cluster.count_store_reads()
         _record_exits(cluster)
     finally:
         await cluster.stop()
--- a/src/agateshelf_standins/keyvalue.py
+++ b/src/agateshelf_standins/keyvalue.py
@@ -4,6 +4,7 @@
 """
 
 import bisect
+import copy
 import dataclasses
 import heapq
 
@@ -279,14 +280,18 @@
             else:
                 heapq.heappush(self._expirations, (state.expires, lease))
 
+    def backup(self) -> "KeyValueStore":
+        """Return a copy with its leases, which doesn't change any more."""
+        return copy.deepcopy(self)
+
     def snapshot(self) -> "KeyValueStore":
         """Return a read-only copy of the current keys, without leases."""
-        copy = KeyValueStore()
-        copy.revision = self.revision
-        copy._key_values = dict(self._key_values)
-        copy._sorted_keys = list(self._sorted_keys)
-        copy._last_changes = dict(self._last_changes)
-        return copy
+        taken = KeyValueStore()
+        taken.revision = self.revision
+        taken._key_values = dict(self._key_values)
+        taken._sorted_keys = list(self._sorted_keys)
+        taken._last_changes = dict(self._last_changes)
+        return taken
 
     def _check_version(self, key: str, if_version: int) -> None:
         key_value = self._key_values.get(key)
--- a/src/agateshelf_standins/member.py
+++ b/src/agateshelf_standins/member.py
@@ -85,7 +85,8 @@
         await self.server.wait_for_termination()
         self.options.draining = True
         await self._write_registration("draining")
-        await curio.sleep(self.options.drain_ms / 1000)
+        async with curio.ignore_after(self.options.drain_ms / 1000):
+            await self._repeat_draining()
         await self._write_registration(None)
         await self.server.stop()
         while self._in_flight:
@@ -97,6 +98,12 @@
             await self._write_registration("ready")
             await curio.sleep(_HEARTBEAT_SECONDS)
 
+    async def _repeat_draining(self) -> None:
+        while True:
+            await curio.sleep(_HEARTBEAT_SECONDS)
+            self.sequence += 1
+            await self._write_registration("draining")
+
     async def _write_registration(self, state: str | None) -> None:
         """Write the registration, or delete it if `state` is None.
 
--- a/src/agateshelf_standins/store.py
+++ b/src/agateshelf_standins/store.py
@@ -43,6 +43,9 @@
             from a snapshot taken when this was set.
         forgotten: Revision up to which the history has been compacted; a watch
             from an earlier revision gets 410.
+        backups: Number of backups made so far; raising it makes one.
+        era: Value of the `Store-Era` header; raising it brings the store back
+            from the last backup.
     """
 
     latency_ms: float = 1
@@ -51,6 +54,8 @@
     lose_answers: int = 0
     stale_reads: bool = False
     forgotten: int = 0
+    backups: int = 0
+    era: int = 0
 
 
 @dataclasses.dataclass(eq=False)
@@ -67,6 +72,7 @@
         self.options = options
         self._state = keyvalue.KeyValueStore()
         self._snapshot = self._state.snapshot() if options.stale_reads else None
+        self._backup = self._state.backup()
         self._watchers: set[_Watcher] = set()
         self._notified_revision = 0
         self._call_counts: collections.Counter[str] = collections.Counter()
@@ -78,6 +84,11 @@
 
     async def handle(self, request: http.Request) -> http.Response:
         """Handle one request."""
+        response = await self._handle(request)
+        headers = {**response.headers, "Store-Era": str(self.options.era)}
+        return dataclasses.replace(response, headers=headers)
+
+    async def _handle(self, request: http.Request) -> http.Response:
         if request.path == "/control":
             return await self._control(request)
         if request.path == "/control/calls":
@@ -191,10 +202,8 @@
             raise documents.BadRequestError(
                 f"wait_ms: must be at most {_MAX_WAIT_MS}"
             )
-        if after < self.options.forgotten:
-            return http.error_response(
-                410, "history was compacted; read the range again"
-            )
+        if self._lacks_history(after):
+            return _history_gone()
         watcher = _Watcher(query.get("prefix", ""), after)
         if not self._matching_changes(watcher):
             self._watchers.add(watcher)
@@ -205,10 +214,8 @@
         fault = await self._inject_fault(request)
         if fault is not None:
             return fault
-        if after < self.options.forgotten:
-            return http.error_response(
-                410, "history was compacted; read the range again"
-            )
+        if self._lacks_history(after):
+            return _history_gone()
         events = [
             self._encode_event(*change)
             for change in self._matching_changes(watcher)
@@ -217,6 +224,9 @@
             {"events": events, "current_rev": self._state.revision}
         )
 
+    def _lacks_history(self, after: int) -> bool:
+        return not self.options.forgotten <= after <= self._state.revision
+
     def _encode_event(self, key: str, revision: int) -> dict[str, Any]:
         key_value = self._state.get(key, now=time.monotonic())
         if key_value is None:
@@ -262,7 +272,12 @@
         return http.Response()
 
     async def _control(self, request: http.Request) -> http.Response:
+        backups, era = self.options.backups, self.options.era
         response = options_lib.handle_control(self.options, request)
+        if self.options.backups > backups:
+            self._backup = self._state.backup()
+        if self.options.era > era:
+            await self._restore()
         if not self.options.stale_reads:
             self._snapshot = None
         elif self._snapshot is None:
@@ -272,6 +287,12 @@
                 await watcher.event.set()
         return response
 
+    async def _restore(self) -> None:
+        self._state = self._backup.backup()
+        self._notified_revision = self._state.revision
+        for watcher in list(self._watchers):
+            await watcher.event.set()
+
     def _state_to_read(self, request: http.Request) -> keyvalue.KeyValueStore:
         if self._snapshot is None or "serializable" not in request.query:
             return self._state
@@ -297,6 +318,12 @@
                 await watcher.event.set()
 
 
+def _history_gone() -> http.Response:
+    return http.error_response(
+        410, "history is not available; read the range again"
+    )
+
+
 @click.command()
 @click.option(
     "--port", default=0, help="Port to listen on; 0 picks a free one."
--- a/src/agateshelf_standins/system.py
+++ b/src/agateshelf_standins/system.py
@@ -330,6 +330,19 @@
     return int(json.loads(response_body)["revision"])
 
 
+def read_keys(store: str, prefix: str) -> list[str]:
+    """Return the first keys of the store under a prefix.
+
+    Raises:
+        ValueError: The store rejected it.
+    """
+    path = f"/kv-range?prefix={urllib.parse.quote(prefix)}"
+    status, body = request(store, "GET", path, headers={PLATFORM_HEADER: "1"})
+    if status != 200:
+        raise ValueError(body.decode())
+    return [item["key"] for item in json.loads(body)["items"]]
+
+
 def set_options(process: Process, **options: Any) -> None:
     """Change options of a running stand-in.
 
