Follow a store that comes back from an older copy, by its era

What callers would see: registrations, drains and removals written after the store came back from an older copy were taken for old ones, since revisions go back and are given out again; readers read without pause. Cause: the order of changes rested on the store's revisions alone. Change: the adapter decodes Store-Era and turns revisions into positions, ordered by era first; a watch that is answered in another era, pages of two eras and an invalid era are no answers. Of a target, the number of its heartbeat decides between eras, so that none that drains or left is ready again by the copy. What the copy lacks stays for 2 s. A reader whose watch is left hanging sees the era in its check. Withheld requests are stored again. Not covered: entries that keep configuration and claims of services in the store go by its versions as before; an entry that starts right after, from a stale read of an older copy, learns of targets that left in the meantime only from the store.

--- a/src/agateshelf/core/directory/handling.py
+++ b/src/agateshelf/core/directory/handling.py
@@ -1,11 +1,15 @@
 """Applies changes of registrations to the directory.
 
 A change applies only if its revision is newer than the one known of its
-target, so changes may arrive repeatedly, late and out of order.
+target, so changes may arrive repeatedly, late and out of order. After the store
+came back from an older copy, what it holds may still be older than what is
+known; there the number of the target's heartbeat decides.
 """
 
 from collections import abc
+import dataclasses
 
+from agateshelf.core import positions
 from agateshelf.core.directory import models
 
 _MAX_REMOVED = 4096
@@ -37,6 +41,9 @@
 def _adopt_one(directory: models.DirectoryState, item: models.Item) -> bool:
     if item.revision <= _known_revision(directory, item.id):
         return False
+    if isinstance(item, models.Registration) and _is_outdated(directory, item):
+        _raise_revision(directory, item)
+        return False
     before = directory.targets.pop(item.id, None)
     if before is not None:
         directory.services.get(before.service, set()).discard(item.id)
@@ -47,17 +54,68 @@
             directory.removed.pop(item.id, None)
         case models.Removal():
             directory.removed.pop(item.id, None)
-            directory.removed[item.id] = item.revision
+            directory.removed[item.id] = _removed(before, item)
             if len(directory.removed) > _MAX_REMOVED:
                 del directory.removed[next(iter(directory.removed))]
     return True
 
 
+def _removed(
+    before: models.Registration | None, removal: models.Removal
+) -> models.RemovedTarget:
+    if before is None:
+        return models.RemovedTarget(removal.revision)
+    return models.RemovedTarget(removal.revision, before.born, before.sequence)
+
+
+def _is_outdated(
+    directory: models.DirectoryState, item: models.Registration
+) -> bool:
+    """Return whether a restored store holds an older registration."""
+    known = directory.targets.get(item.id)
+    if known is not None:
+        return _is_of_later_era(item, known.revision) and (
+            _start_and_sequence(item.born, item.sequence)
+            < _start_and_sequence(known.born, known.sequence)
+        )
+    removed = directory.removed.get(item.id)
+    if removed is None:
+        return False
+    return _is_of_later_era(item, removed.revision) and (
+        _start_and_sequence(item.born, item.sequence)
+        <= _start_and_sequence(removed.born, removed.sequence)
+    )
+
+
+def _is_of_later_era(item: models.Registration, known: int) -> bool:
+    return positions.era_of(item.revision) > positions.era_of(known)
+
+
+def _start_and_sequence(born: int | None, sequence: int) -> tuple[int, int]:
+    return born or 0, sequence
+
+
+def _raise_revision(
+    directory: models.DirectoryState, item: models.Registration
+) -> None:
+    """Keep what is known, as of the position of an outdated item."""
+    known = directory.targets.get(item.id)
+    if known is not None:
+        directory.targets[item.id] = dataclasses.replace(
+            known, revision=item.revision
+        )
+        return
+    directory.removed[item.id] = dataclasses.replace(
+        directory.removed[item.id], revision=item.revision
+    )
+
+
 def _known_revision(directory: models.DirectoryState, target: str) -> int:
     known = directory.targets.get(target)
     if known is not None:
         return known.revision
-    return directory.removed.get(target, 0)
+    removed = directory.removed.get(target)
+    return 0 if removed is None else removed.revision
 
 
 def changed_since(
@@ -70,8 +128,8 @@
         if target.revision > revision
     )
     removals = tuple(
-        models.Removal(target, at)
-        for target, at in directory.removed.items()
-        if at > revision
+        models.Removal(target, removed.revision)
+        for target, removed in directory.removed.items()
+        if removed.revision > revision
     )
     return targets, removals
--- a/src/agateshelf/core/directory/models.py
+++ b/src/agateshelf/core/directory/models.py
@@ -18,7 +18,8 @@
         born: Start of its process in Unix milliseconds, if registered. A later
             one under the same identifier shows a restart, which ended the
             target's earlier requests.
-        revision: Revision of the store at which it was written.
+        revision: Position in the store's history at which it was written.
+        sequence: Number of the heartbeat that wrote it.
     """
 
     id: str
@@ -30,6 +31,7 @@
     warmup: float
     born: int | None
     revision: int
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +45,21 @@
 Item = Registration | Removal
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemovedTarget:
+    """A target that was removed, with its last registration.
+
+    Attributes:
+        revision: Position of the removal.
+        born: `Registration.born`.
+        sequence: `Registration.sequence`.
+    """
+
+    revision: int
+    born: int | None = None
+    sequence: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class DirectoryState:
     """All registrations known to this entry.
@@ -50,12 +67,11 @@
     Attributes:
         targets: Registrations by target identifier.
         services: Identifiers of the targets of each service.
-        removed: Revision of the removal of each removed target, the latest
-            removal last.
-        revision: Revision of the store up to which the directory is complete.
+        removed: Removed targets by identifier, the latest removal last.
+        revision: Position up to which the directory is complete.
     """
 
     targets: dict[str, Registration] = dataclasses.field(default_factory=dict)
     services: dict[str, set[str]] = dataclasses.field(default_factory=dict)
-    removed: dict[str, int] = dataclasses.field(default_factory=dict)
+    removed: dict[str, RemovedTarget] = dataclasses.field(default_factory=dict)
     revision: int = 0
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -296,6 +296,10 @@
     answer: storage.StoreAnswer
 
 
+class StoreRestored(msgspec.Struct, frozen=True):
+    """The platform's store came back from an older copy (internal)."""
+
+
 class PeerMessageReceived(msgspec.Struct, frozen=True):
     """An authenticated message of another entry arrived.
 
@@ -583,6 +587,7 @@
     | RateLoansDue
     | QueueTimeoutPassed
     | StoreAnswered
+    | StoreRestored
     | PeerMessageReceived
     | LiveEntriesChanged
     | Started
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -2,6 +2,7 @@
 
 from agateshelf.core import effects
 from agateshelf.core import events
+from agateshelf.core import positions
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
 from agateshelf.core.directory import handling as directory
@@ -106,7 +107,8 @@
 ) -> Effects:
     """Handle an answer of the store and send the next request."""
     if event.request == state.feed.check_request:
-        return checking.on_answer(state, event.answer)
+        emitted = checking.on_answer(state, event.answer)
+        return [*emitted, *_read_restored(state, event.answer)]
     topic = state.feed.topic_of.pop(event.request, None)
     if topic is None:
         return []
@@ -126,6 +128,24 @@
             return emitted
 
 
+def _read_restored(
+    state: core_state.State, answer: models.FeedAnswer
+) -> Effects:
+    """Read the topics anew if a check was answered in a later era.
+
+    Watches from an earlier era may wait on, without hearing of any change.
+    """
+    if not isinstance(answer, models.Snapshot) or not state.feed.is_reader:
+        return []
+    era = positions.era_of(answer.revision)
+    emitted: Effects = []
+    for topic, topic_state in state.feed.topics.items():
+        is_watched = topic_state.phase is models.Phase.WATCHING
+        if is_watched and positions.era_of(topic_state.revision) < era:
+            emitted.extend(read(state, topic, stale=False))
+    return emitted
+
+
 def _watch_again(
     state: core_state.State,
     now: float,
@@ -210,6 +230,7 @@
     answer: models.Snapshot | models.Changes,
 ) -> Effects:
     topic_state = state.feed.topics[topic]
+    restored = _note_era(state, now, topic_state, answer.revision)
     topic_state.revision = max(topic_state.revision, answer.revision)
     if topic is models.Topic.ROUTES:
         version = relaying.routes_version(state)
@@ -217,14 +238,39 @@
         if relaying.routes_version(state) > version:
             revision = state.directory.revision
             emitted.extend(relaying.relay(state, answer.table, (), revision))
-        return emitted
+        return [*restored, *emitted]
     items = list(answer.targets)
     if isinstance(answer, models.Snapshot):
         items = directory.complete_snapshot(
             state.directory, answer.revision, answer.targets
         )
     items = removals.defer(state, now, items)
-    return adopt_items(state, items, const.SOURCE_STORE, answer.revision)
+    emitted = adopt_items(state, items, const.SOURCE_STORE, answer.revision)
+    return [*restored, *emitted]
+
+
+def _note_era(
+    state: core_state.State,
+    now: float,
+    topic_state: models.TopicState,
+    position: int,
+) -> Effects:
+    """Notice that the store came back from an older copy.
+
+    What was written since the copy is missing until it is written again.
+    """
+    era = positions.era_of(position)
+    is_first = not topic_state.revision
+    if is_first or era <= positions.era_of(topic_state.revision):
+        return []
+    state.feed.removal_grace_until = now + const.OUTAGE_GRACE_SECONDS
+    state.pending_events.append(events.StoreRestored())
+    details = (
+        ("era", era),
+        ("revision", positions.revision_of(position)),
+        ("before", positions.revision_of(topic_state.revision)),
+    )
+    return [effects.LogEvent("store.restored", details=details)]
 
 
 def adopt_items(
--- a/src/agateshelf/core/poison/persistence.py
+++ b/src/agateshelf/core/poison/persistence.py
@@ -88,6 +88,15 @@
     return _send(state, write, models.StoreUse.WRITE, fingerprint)
 
 
+def on_store_restored(state: core_state.State, now: float) -> Effects:
+    """Store again what the store may have lost, its leases among it."""
+    storing = state.poison.storing
+    storing.stored.clear()
+    storing.leased_at = -math.inf
+    storing.loaded = False
+    return on_due(state, now)
+
+
 def on_crashes_changed(state: core_state.State, now: float) -> Effects:
     """Store a request that is withheld from now on."""
     state.poison.storing.has_changes = True
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -84,6 +84,8 @@
                 *feed.on_due(state, now),
                 *persistence.on_due(state, now),
             ]
+        case events.StoreRestored():
+            return persistence.on_store_restored(state, now)
         case events.StoreAnswered():
             return _on_store_answer(state, now, event)
         case feed_models.WatchResumeDue():
--- a/src/agateshelf/platform/client.py
+++ b/src/agateshelf/platform/client.py
@@ -9,13 +9,16 @@
 import msgspec
 from returns import result
 
+from agateshelf.core import positions
 from agateshelf.daemon import fetching
 from agateshelf.platform import const
+from agateshelf.platform import eras
 from agateshelf.platform import items
 
 _OK = 200
 
 BodyT = TypeVar("BodyT")
+LocatedT = TypeVar("LocatedT", items.ItemResponse, items.Events)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,21 +67,28 @@
         Returns:
             All items as one page, with the revision of the first page. Pages
             are not a consistent snapshot, so changes made between them must be
-            watched from that revision.
+            watched from that revision. Pages of different eras are none.
         """
         all_items: list[items.Item] = []
         revision = 0
+        era: int | None = None
         while True:
             query = _build_query(stale, prefix=prefix, after=after)
             answer = await self._get(const.PATH_RANGE, query, timeout)
             page = decode(answer, items.Page)
             if isinstance(page, fetching.NoResponse):
                 return page
+            page_era = _era_of(answer)
+            if isinstance(page_era, fetching.NoResponse):
+                return page_era
+            if era not in (None, page_era):
+                return fetching.NoResponse("the store was restored meanwhile")
+            era = page_era
             revision = revision or page.current_rev
             all_items.extend(page.items)
             more = page.has_more and bool(page.items)
             if not more or (limit is not None and len(all_items) >= limit):
-                return items.Page(all_items, more, revision)
+                return items.Page(all_items, more, revision, era)
             after = page.items[-1].key
 
     async def watch(
@@ -138,6 +148,36 @@
     return parameters
 
 
+def _era_of(
+    answer: fetching.Response | fetching.NoResponse,
+) -> int | fetching.NoResponse:
+    if isinstance(answer, fetching.NoResponse):
+        return answer
+    era = eras.era_of(answer)
+    return fetching.NoResponse("invalid era") if era is None else era
+
+
+def decode_located(
+    answer: fetching.Response | fetching.NoResponse, body: type[LocatedT]
+) -> LocatedT | fetching.NoResponse:
+    """Decode the body of a successful answer, with positions for revisions."""
+    decoded = decode(answer, body)
+    if isinstance(decoded, fetching.NoResponse):
+        return decoded
+    era = _era_of(answer)
+    if isinstance(era, fetching.NoResponse):
+        return era
+    located: list[items.Item]
+    if isinstance(decoded, items.ItemResponse):
+        located = [decoded]
+        decoded.current_rev = decoded.current_rev or decoded.revision
+    else:
+        located = decoded.events
+    eras.locate(located, era)
+    decoded.current_rev = positions.position_of(era, decoded.current_rev)
+    return decoded
+
+
 def has_status(
     answer: fetching.Response | fetching.NoResponse, status: int
 ) -> TypeGuard[fetching.Response]:
--- a/src/agateshelf/platform/const.py
+++ b/src/agateshelf/platform/const.py
@@ -13,6 +13,9 @@
 PATH_LEASE: Final = "/kv-lease"
 PATH_RENEW: Final = "/kv-keep/"
 
+# Header of all answers of the store, in lower case.
+HEADER_ERA: Final = b"store-era"
+
 KIND_IDEMPOTENT: Final = "safe"
 STATE_READY: Final = "ready"
 STATE_DRAINING: Final = "draining"
--- a/src/agateshelf/platform/documents.py
+++ b/src/agateshelf/platform/documents.py
@@ -31,7 +31,7 @@
         state: `ready` or `draining`; a target in another state counts as
             absent.
         warmup_left: Milliseconds of warm-up left at the time of the write.
-        sequence: Number that grows with every heartbeat; not used.
+        sequence: Number that grows with every heartbeat.
         born: Start of the target's process in Unix milliseconds; set only by
             targets that may restart under the same identifier.
     """
@@ -117,6 +117,7 @@
         warmup=decoded.warmup_left / const.MILLISECONDS_PER_SECOND,
         born=decoded.born,
         revision=item.revision,
+        sequence=decoded.sequence,
     )
 
 
--- a/src/agateshelf/platform/feed.py
+++ b/src/agateshelf/platform/feed.py
@@ -6,12 +6,14 @@
 
 from agateshelf.core import effects
 from agateshelf.core import events
+from agateshelf.core import positions
 from agateshelf.core.feed import models as feed_models
 from agateshelf.daemon import fetching
 from agateshelf.daemon import posting
 from agateshelf.platform import client as platform_client
 from agateshelf.platform import const
 from agateshelf.platform import documents
+from agateshelf.platform import eras
 from agateshelf.platform import items
 
 _NOT_FOUND = 404
@@ -52,12 +54,11 @@
         )
         if platform_client.has_status(answer, _NOT_FOUND):
             return feed_models.Unavailable("no routes have been written yet")
-        body = platform_client.decode(answer, items.ItemResponse)
+        body = platform_client.decode_located(answer, items.ItemResponse)
         if isinstance(body, fetching.NoResponse):
             return feed_models.Unavailable(body.reason)
         return feed_models.Snapshot(
-            body.current_rev or body.revision,
-            documents.decode_route_table([body]),
+            body.current_rev, documents.decode_route_table([body])
         )
 
     async def _read_targets(
@@ -68,8 +69,10 @@
         )
         if isinstance(page, fetching.NoResponse):
             return feed_models.Unavailable(page.reason)
+        eras.locate(page.items, page.era)
         return feed_models.Snapshot(
-            page.current_rev, targets=documents.decode_targets(page.items)
+            positions.position_of(page.era, page.current_rev),
+            targets=documents.decode_targets(page.items),
         )
 
     async def watch(
@@ -93,15 +96,18 @@
     ) -> feed_models.FeedAnswer:
         answer = await self.client.watch(
             _PREFIXES[effect.topic],
-            effect.after,
+            positions.revision_of(effect.after),
             effect.wait,
             effect.wait + _WATCH_MARGIN_SECONDS,
         )
         if platform_client.has_status(answer, _GONE):
             return feed_models.HistoryGone()
-        body = platform_client.decode(answer, items.Events)
+        body = platform_client.decode_located(answer, items.Events)
         if isinstance(body, fetching.NoResponse):
             return feed_models.Unavailable(body.reason)
+        if positions.era_of(body.current_rev) != positions.era_of(effect.after):
+            # The store may have given out the revisions up to `after` again.
+            return feed_models.HistoryGone()
         match effect.topic:
             case feed_models.Topic.ROUTES:
                 table = documents.decode_route_table(body.events)
--- a/src/agateshelf/platform/items.py
+++ b/src/agateshelf/platform/items.py
@@ -39,11 +39,13 @@
         items: The items, ordered by key.
         has_more: Whether further items follow.
         current_rev: Revision of the whole store.
+        era: Era of the store; not part of the body.
     """
 
     items: list[Item]
     has_more: bool
     current_rev: int
+    era: int = 0
 
 
 class Events(msgspec.Struct):
--- a/tests/core/feed/test_feed.py
+++ b/tests/core/feed/test_feed.py
@@ -6,8 +6,10 @@
 from tests.core import routed_fleet
 
 from agateshelf.core import events
+from agateshelf.core import positions
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.feed import messages
+from agateshelf.core.feed import models
 
 DRAIN_SECONDS = 2.0
 CONFIGURATION_SECONDS = 2.0
@@ -232,3 +234,63 @@
         assert len(node.state.directory.targets) == 40
     # Three readers, each with at most 4 watches and 1.25 checks per second.
     assert fleet.store_calls <= 3 * 2.5 * 5.25 + 3
+
+
+def restore_store(fleet, era, *, cuts_watches=True):
+    """Let the store come back with lower revisions, in a later era."""
+    fleet.era = era
+    fleet.revision = positions.position_of(era, 5)
+    fleet.changes.clear()
+    for node, effect in fleet.watches if cuts_watches else ():
+        gone = events.FeedAnswered(effect.request, models.HistoryGone())
+        fleet.at(fleet.now, fleet.post, node, gone)
+    fleet.watches.clear()
+
+
+@pytest.mark.parametrize("cuts_watches", [True, False])
+def test_a_restored_store_is_followed_from_its_lower_revision(
+    fleet, cuts_watches
+):
+    for number in range(20):
+        fleet.change(dataclasses.replace(fleet.items["t0"], slots=2 + number))
+    fleet.run_for(1.0)
+    restore_store(fleet, 1, cuts_watches=cuts_watches)
+    fleet.run_for(0.5)
+    fleet.change(dataclasses.replace(fleet.items["t1"], draining=True))
+    fleet.run_for(DRAIN_SECONDS - 0.5)
+    assert draining(fleet, "t1") == [True] * 6
+
+
+def test_targets_that_a_restored_store_lacks_are_kept_for_a_while(fleet):
+    # They write their registrations again within two seconds.
+    missing = fleet.items.pop("t0")
+    restore_store(fleet, 1)
+    fleet.run_for(1.5)
+    assert all(
+        "t0" in node.state.directory.targets for node in fleet.nodes.values()
+    )
+    fleet.change(missing)
+    fleet.run_for(5.0)
+    assert all(
+        "t0" in node.state.directory.targets for node in fleet.nodes.values()
+    )
+
+
+def test_targets_that_a_restored_store_never_gets_again_are_removed(fleet):
+    del fleet.items["t0"]
+    restore_store(fleet, 1)
+    fleet.run_for(5.0)
+    assert not any(
+        "t0" in node.state.directory.targets for node in fleet.nodes.values()
+    )
+
+
+def test_a_restored_store_is_not_read_endlessly(fleet):
+    fleet.store_calls = 0
+    fleet.run_for(5.0)
+    usual = fleet.store_calls
+    restore_store(fleet, 1)
+    fleet.store_calls = 0
+    fleet.run_for(5.0)
+    # Each of the three readers reads both topics once.
+    assert fleet.store_calls <= usual + 2 * 2 * len(readers(fleet))
--- a/tests/core/poison/test_crash_persistence.py
+++ b/tests/core/poison/test_crash_persistence.py
@@ -7,8 +7,10 @@
 import pytest
 from tests.core import crash_fleet
 
+from agateshelf.core import events
 from agateshelf.core import storage
 from agateshelf.core.poison import const
+from bench import fakestore
 
 DOMAINS = ("boston", "hartford", "portland", "providence")
 STABLE_SECONDS = 3.0
@@ -103,6 +105,17 @@
     assert withholding(fleet) == 4
 
 
+def test_a_request_is_stored_again_once_the_store_was_restored():
+    fleet = create_fleet()
+    withhold(fleet)
+    # The copy has neither the request nor the lease.
+    fleet.store = fakestore.FakeStore()
+    for node in fleet.nodes.values():
+        fleet.post(node, events.StoreRestored())
+    fleet.run_for(2.0)
+    assert len(stored_keys(fleet)) == 1
+
+
 def test_an_invalid_stored_request_does_not_hide_the_others():
     fleet = create_fleet()
     fleet.store.answer(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -84,6 +84,7 @@
         warmup=1.5,
         born=1700,
         revision=5,
+        sequence=4,
     )
 
 
--- a/tests/platform/test_feed_client.py
+++ b/tests/platform/test_feed_client.py
@@ -10,6 +10,7 @@
 from tests.platform import test_documents as samples
 
 from agateshelf.core import effects
+from agateshelf.core import positions
 from agateshelf.core.feed import models
 from agateshelf.platform import client as platform_client
 from agateshelf.platform import feed
@@ -36,8 +37,8 @@
 class ScriptedStore:
     """Answers each request with the return value of a script.
 
-    A script returns a status and a body, `CLOSE` to close the connection or
-    None not to answer.
+    A script returns a status, a body and headers, `CLOSE` to close the
+    connection or None not to answer.
     """
 
     def __init__(self, script):
@@ -72,12 +73,13 @@
                 return
             if answer == CLOSE:
                 return
-            status, body = answer
+            status, body = answer[:2]
+            headers = b"".join(b"%b: %b\r\n" % pair for pair in answer[2:])
             data = (
                 body if isinstance(body, bytes) else json.dumps(body).encode()
             )
-            head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n"
-            await sock.sendall(head % (status, len(data)) + data)
+            head = b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n"
+            await sock.sendall(head % (status, headers, len(data)) + data)
 
 
 def run_effect(script, effect):
@@ -178,3 +180,68 @@
     answer, _ = run_effect(script, effects.ReadFeed(1, ROUTES, False, 0.3))
     assert isinstance(answer, models.Unavailable)
     assert answer.reason
+
+
+def era(number):
+    return (b"Store-Era", number)
+
+
+def test_revisions_of_a_later_era_are_later_positions():
+    item = {**stored("op/config", samples.CONFIGURATION, 5), "current_rev": 9}
+    answer, _ = run_effect(
+        lambda _path, _query: (200, item, era(b"3")),
+        effects.ReadFeed(1, ROUTES, False, 1.0),
+    )
+    assert answer.revision == positions.position_of(3, 9)
+    assert answer.revision > positions.position_of(2, 10**6)
+
+
+def test_registrations_are_located_in_the_era_of_their_answer():
+    page = {
+        "items": [stored("servers/a", samples.TARGET, 3)],
+        "has_more": False,
+        "current_rev": 20,
+    }
+    answer, _ = run_effect(
+        lambda _path, _query: (200, page, era(b"2")),
+        effects.ReadFeed(1, TARGETS, False, 1.0),
+    )
+    assert answer.targets[0].revision == positions.position_of(2, 3)
+    assert answer.revision == positions.position_of(2, 20)
+
+
+def test_a_watch_from_an_earlier_era_has_lost_its_history():
+    # The store may have given out the revisions up to 30 again meanwhile.
+    changes = {"events": [], "current_rev": 32}
+    answer, store = run_effect(
+        lambda _path, _query: (200, changes, era(b"2")),
+        effects.WatchFeed(1, TARGETS, positions.position_of(1, 30), 5.0),
+    )
+    assert answer == models.HistoryGone()
+    assert store.requests[0][1]["after"] == "30"
+
+
+def test_pages_of_different_eras_are_no_answer():
+    eras = iter((b"1", b"2"))
+
+    def script(_path, query):
+        first = "after" not in query
+        page = {
+            "items": [stored("servers/a", samples.TARGET, 3)],
+            "has_more": first,
+            "current_rev": 20,
+        }
+        return 200, page, era(next(eras))
+
+    answer, _ = run_effect(script, effects.ReadFeed(1, TARGETS, False, 1.0))
+    assert isinstance(answer, models.Unavailable)
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"x", b"1.5", b"9" * 19])
+def test_an_invalid_era_is_no_answer(value):
+    changes = {"events": [], "current_rev": 32}
+    answer, _ = run_effect(
+        lambda _path, _query: (200, changes, era(value)),
+        effects.WatchFeed(1, TARGETS, 30, 5.0),
+    )
+    assert isinstance(answer, models.Unavailable)
