Look at one request only when a crash is counted, and store it again after its time

Readers went through all suspects with each crash, which costs a reader seconds when a whole failure domain of targets is lost. A request stored once was never stored again, also after 600 s, when the store has dropped it; a write under way when the store came back from an older copy counted as stored. One test added, which failed for the second.

--- a/src/agateshelf/core/poison/models.py
+++ b/src/agateshelf/core/poison/models.py
@@ -155,8 +155,8 @@
     Attributes:
         pending: The request to the store under way, one at a time.
         loaded: Whether this reader has read what is stored.
-        has_changes: Whether a request may be withheld that is not stored.
-        stored: Fingerprints known to be stored.
+        unstored: Fingerprints of requests to store, in order.
+        stored: Times until which requests are stored, by fingerprint.
         lease: Lease under which requests are written.
         leased_at: When it was granted, in seconds.
         failures: Failed requests to the store in a row.
@@ -165,8 +165,8 @@
 
     pending: PendingStoreRequest | None = None
     loaded: bool = False
-    has_changes: bool = False
-    stored: set[bytes] = dataclasses.field(default_factory=set)
+    unstored: dict[bytes, None] = dataclasses.field(default_factory=dict)
+    stored: dict[bytes, float] = dataclasses.field(default_factory=dict)
     lease: str | None = None
     leased_at: float = -math.inf
     failures: int = 0
--- a/src/agateshelf/core/poison/persistence.py
+++ b/src/agateshelf/core/poison/persistence.py
@@ -91,40 +91,57 @@
 def on_store_restored(state: core_state.State, now: float) -> Effects:
     """Store again what the store may have lost, its leases among it."""
     storing = state.poison.storing
+    storing.pending = None
     storing.stored.clear()
     storing.leased_at = -math.inf
     storing.loaded = False
     return on_due(state, now)
 
 
-def on_crashes_changed(state: core_state.State, now: float) -> Effects:
+def on_crashes_changed(
+    state: core_state.State, now: float, fingerprint: bytes
+) -> Effects:
     """Store a request that is withheld from now on."""
-    state.poison.storing.has_changes = True
+    if not state.feed.is_reader:
+        return []
+    _queue(state, now, fingerprint)
     return on_due(state, now)
 
 
-def _next_unstored(state: core_state.State, now: float) -> bytes | None:
+def _queue(state: core_state.State, now: float, fingerprint: bytes) -> None:
     storing = state.poison.storing
-    if not storing.has_changes:
-        return None
-    suspects = state.poison.suspects
-    storing.stored &= suspects.keys()
-    for fingerprint in suspects:
-        if fingerprint in storing.stored:
-            continue
-        crashes = _confirmed(state, now, fingerprint)
-        if len(crashes) >= forwarding_const.POISON_CRASHES:
+    if storing.stored.get(fingerprint, -math.inf) > now:
+        return
+    if _is_withheld(state, now, fingerprint):
+        storing.unstored[fingerprint] = None
+
+
+def _is_withheld(
+    state: core_state.State, now: float, fingerprint: bytes
+) -> bool:
+    crashes = _confirmed(state, now, fingerprint)
+    return len(crashes) >= forwarding_const.POISON_CRASHES
+
+
+def _next_unstored(state: core_state.State, now: float) -> bytes | None:
+    unstored = state.poison.storing.unstored
+    while unstored:
+        fingerprint = next(iter(unstored))
+        if _is_withheld(state, now, fingerprint):
             return fingerprint
-    storing.has_changes = False
+        del unstored[fingerprint]
     return None
 
 
 def _confirmed(
     state: core_state.State, now: float, fingerprint: bytes
 ) -> list[messages.CrashReport]:
+    suspect = state.poison.suspects.get(fingerprint)
+    if suspect is None:
+        return []
     reports = (
         records.report_of(state, now, fingerprint, process)
-        for process in state.poison.suspects[fingerprint].crashes
+        for process in suspect.crashes
     )
     return [
         report
@@ -152,8 +169,9 @@
     match pending.use, event.answer:
         case models.StoreUse.LOAD, storage.RangePage() as page:
             storing.loaded = True
-            storing.has_changes = True
             emitted = _adopt(state, now, page)
+            for fingerprint in state.poison.suspects:
+                _queue(state, now, fingerprint)
         case models.StoreUse.LOAD_STALE, storage.RangePage() as page:
             emitted = _adopt(state, now, page)
         case models.StoreUse.LEASE, storage.LeaseGranted() as granted:
@@ -162,7 +180,8 @@
             emitted = []
         case models.StoreUse.WRITE, storage.Swapped() | storage.Conflict():
             # After a conflict another reader has stored it.
-            storing.stored.add(pending.fingerprint)
+            until = storing.leased_at + const.CRASH_TTL_SECONDS
+            _mark_stored(storing, now, pending.fingerprint, until)
             emitted = [_stored_event(pending.fingerprint)]
         case _:
             return _on_failed(state, now, pending, event.answer)
@@ -170,6 +189,17 @@
     return [*emitted, *on_due(state, now)]
 
 
+def _mark_stored(
+    storing: models.StoringState, now: float, fingerprint: bytes, until: float
+) -> None:
+    storing.unstored.pop(fingerprint, None)
+    if len(storing.stored) >= const.MAX_SUSPECTS:
+        storing.stored = {
+            stored: at for stored, at in storing.stored.items() if at > now
+        }
+    storing.stored[fingerprint] = until
+
+
 def _stored_event(fingerprint: bytes) -> effects.LogEvent:
     details = (("fingerprint", fingerprints.short(fingerprint)),)
     return effects.LogEvent("crash.stored", details=details)
@@ -229,7 +259,7 @@
     for report in stored.reports:
         fingerprint = report.fingerprint
         process = models.Process(report.target, report.born, report.nonce)
-        state.poison.storing.stored.add(fingerprint)
+        _mark_stored(state.poison.storing, now, fingerprint, now + ttl)
         confirmed = models.Status.CONFIRMED
         if not records.merge(state, now, fingerprint, process, confirmed, ttl):
             continue
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -109,7 +109,7 @@
         case events.CrashesChanged():
             return [
                 *lifecycle.on_crashes_changed(state, now, event),
-                *persistence.on_crashes_changed(state, now),
+                *persistence.on_crashes_changed(state, now, event.fingerprint),
             ]
         case events.StopDeadlinePassed():
             return lifecycle.on_stop_deadline(state, now)
--- a/tests/core/poison/test_crash_persistence.py
+++ b/tests/core/poison/test_crash_persistence.py
@@ -116,6 +116,15 @@
     assert len(stored_keys(fleet)) == 1
 
 
+def test_a_request_that_crashes_targets_once_more_is_stored_once_more():
+    fleet = create_fleet()
+    withhold(fleet)
+    fleet.run_for(const.CRASH_TTL_SECONDS + 5.0)
+    assert stored_keys(fleet) == []
+    withhold(fleet)
+    assert len(stored_keys(fleet)) == 1
+
+
 def test_an_invalid_stored_request_does_not_hide_the_others():
     fleet = create_fleet()
     fleet.store.answer(
