--- a/tests/core/crash_fleet.py
+++ b/tests/core/crash_fleet.py
@@ -16,7 +16,6 @@
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.forwarding import const as forwarding_const
 from agateshelf.core.forwarding import lifecycle
-from agateshelf.core.membership import models as membership_models
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.poison import const
 from agateshelf.core.poison import messages
@@ -114,7 +113,6 @@
         self.marked_sends = []
         self.crashes = []
         self.messages = collections.Counter()
-        self.incarnations = collections.Counter()
         self.failing_status = 0
         self.loses_answers = False
         self.side = set()
@@ -273,33 +271,6 @@
             process.id = f"{process.id.partition('-')[0]}-{process.generation}"
         self.change(self._registration(process))
 
-    def kill(self, name):
-        """Kill an entry."""
-        self.nodes[name].alive = False
-
-    def restart(self, name):
-        """Start an entry again, which has forgotten everything."""
-        node = self.nodes[name]
-        node.alive = True
-        self.incarnations[name] += 1
-        identity = node.state.identity
-        seed = 1000 * self.incarnations[name] + len(self.marked_sends)
-        node.state = core_state.create_state(identity, seed, has_services=False)
-        contacts = tuple(
-            membership_models.Seed(other, other)
-            for other in list(self.nodes)[:3]
-        )
-        incarnation = 1 + self.incarnations[name]
-        started = events.Started(
-            incarnation,
-            name,
-            contacts,
-            has_store=False,
-            has_feed=True,
-            unix_time=self.now,
-        )
-        self.post(node, started)
-
     def add(self, name, domain="boston"):
         """Add an entry."""
         identity = core_state.Identity(name, domain)
--- a/tests/core/routed_fleet.py
+++ b/tests/core/routed_fleet.py
@@ -118,6 +118,7 @@
         self.silent_targets = set()
         self.calls = itertools.count(1)
         self.nodes = {}
+        self.incarnations = collections.Counter()
         for index, domain in enumerate(domains):
             name = f"10.0.0.{index}:7000"
             identity = core_state.Identity(name, domain)
@@ -141,6 +142,33 @@
             )
             self.post(node, started)
 
+    def kill(self, name):
+        """Kill an entry."""
+        self.nodes[name].alive = False
+
+    def restart(self, name):
+        """Start an entry again, which has forgotten everything."""
+        node = self.nodes[name]
+        node.alive = True
+        self.incarnations[name] += 1
+        incarnation = 1 + self.incarnations[name]
+        identity = node.state.identity
+        seed = 1000 * incarnation + len(self.sends)
+        node.state = core_state.create_state(identity, seed, has_services=False)
+        contacts = tuple(
+            membership_models.Seed(other, other)
+            for other in list(self.nodes)[:3]
+        )
+        started = events.Started(
+            incarnation,
+            name,
+            contacts,
+            has_store=False,
+            has_feed=True,
+            unix_time=self.now,
+        )
+        self.post(node, started)
+
     def at(self, when, action, *arguments):
         heapq.heappush(self.queue, (when, next(self.order), action, arguments))
 
--- a/tests/core/target_limits/limited_fleet.py
+++ b/tests/core/target_limits/limited_fleet.py
@@ -5,8 +5,6 @@
 from tests.core import routed_fleet
 
 from agateshelf.core import events
-from agateshelf.core import state as core_state
-from agateshelf.core.membership import models as membership_models
 
 RUN_SECONDS = 0.1
 # Time in which all calls get their responses.
@@ -44,7 +42,6 @@
         self.counted = collections.defaultdict(list)
         self.arrivals = collections.defaultdict(list)
         self.sides = ()
-        self.incarnations = collections.Counter()
         self.sent_at = {}
         self.ended_at = {}
         self.messages = collections.Counter()
@@ -112,31 +109,9 @@
             call = self.request(name, **changes)
             self.sent_at[call] = self.now
 
-    def kill(self, name):
-        self.nodes[name].alive = False
-
     def restart(self, name):
-        """Start an entry again, which has forgotten everything."""
-        node = self.nodes[name]
-        node.alive = True
-        self.incarnations[name] += 1
         self.told = {k: at for k, at in self.told.items() if k[0] != name}
-        identity = node.state.identity
-        seed = 1000 * self.incarnations[name]
-        node.state = core_state.create_state(identity, seed, has_services=False)
-        contacts = tuple(
-            membership_models.Seed(other, other)
-            for other in list(self.nodes)[:3]
-        )
-        started = events.Started(
-            1 + self.incarnations[name],
-            name,
-            contacts,
-            has_store=False,
-            has_feed=True,
-            unix_time=self.now,
-        )
-        self.post(node, started)
+        super().restart(name)
 
     def most_in_window(self, target, times=None):
         """Return the most counted sends to a target in any window."""
