--- a/src/agateshelf/cli/explain.py
+++ b/src/agateshelf/cli/explain.py
@@ -11,7 +11,16 @@
 # Changes of a target's state affect later requests to it. Those within this
 # time before the first log line of a request are shown as context.
 CONTEXT_SECONDS = 5.0
-_TARGET_EVENTS = frozenset({"target.barred", "target.registration"})
+_TARGET_EVENTS = frozenset(
+    {
+        "limit.lifted",
+        "limit.named",
+        "target.barred",
+        "target.leaving",
+        "target.paused",
+        "target.registration",
+    }
+)
 
 Line = dict[str, object]
 
--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -14,17 +14,18 @@
 from agateshelf.core.dispatch import const
 from agateshelf.core.dispatch import estimates
 from agateshelf.core.dispatch import hedging
-from agateshelf.core.dispatch import limiting
 from agateshelf.core.dispatch import messages
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import owners
+from agateshelf.core.dispatch import restrictions
 from agateshelf.core.dispatch import retry_budget
 from agateshelf.core.dispatch import sampler_assignment
 from agateshelf.core.dispatch import sampling
 from agateshelf.core.dispatch import scheduling
 from agateshelf.core.dispatch import target_health
 from agateshelf.core.peers import models as peer_models
-from agateshelf.core.target_limits import records as limit_records
+from agateshelf.core.target_notices import records as notice_records
+from agateshelf.core.target_notices import spreading
 
 Effects = list[effects.Effect]
 
@@ -54,6 +55,7 @@
     else:
         target = models.TargetState(registration)
         dispatcher.targets[registration.id] = target
+        dispatcher.notices_seen = -1
     if registration.warmup > 0:
         target.warm_at = now + registration.warmup
 
@@ -144,11 +146,10 @@
 ) -> Effects:
     dispatcher = get_dispatcher(state, now, message.service)
     dispatcher.last_request_at = now
-    for limit in message.limits:
-        limit_records.merge(state, now, limit)
+    emitted = spreading.learn(state, now, message.notices)
     if peer != state.identity.entry:
         dispatcher.last_peer_request_at = now
-    emitted = sampler_assignment.ensure_sampling(state, now, dispatcher)
+    emitted.extend(sampler_assignment.ensure_sampling(state, now, dispatcher))
     key = (peer, message.number)
     granted = dispatcher.granted.get(key)
     if granted is not None and granted.target in dispatcher.targets:
@@ -184,7 +185,7 @@
         speed=target.speed,
         speed_age=min(now - target.reported_at, const.NEVER_REPORTED_SECONDS),
         outstanding=target.outstanding - 1,
-        limit=limit_records.statement_of(state, now, target.registration.id),
+        notice=notice_records.statement_of(state, now, target.registration.id),
     )
 
 
@@ -251,15 +252,17 @@
     ended: messages.DispatchEnded,
 ) -> Effects:
     key = (peer, ended.number)
-    if ended.limit is not None:
-        limit_records.merge(state, now, ended.limit)
+    emitted: Effects = []
+    if ended.notice is not None:
+        emitted = spreading.learn(state, now, (ended.notice,))
     for dispatcher in state.dispatch.dispatchers.values():
         if dispatcher.waiting.pop(key, None) is not None:
-            return []
+            break
         request = dispatcher.granted.get(key)
         if request is not None:
-            return _finish(state, now, dispatcher, request, ended)
-    return []
+            emitted.extend(_finish(state, now, dispatcher, request, ended))
+            break
+    return emitted
 
 
 def _finish(
@@ -277,6 +280,7 @@
     if ended.running is not None:
         estimates.record_speed(target, now, 1.0 / max(ended.slowness, 0.01))
     if ending is models.Ending.ANSWERED:
+        target.resuming = False
         estimates.record_run(dispatcher, request, ended.seconds)
     emitted: Effects = []
     if target_health.record_ending(target, now, ending):
@@ -314,6 +318,7 @@
     if dispatcher is None:
         return []
     sampler_assignment.on_report(dispatcher, now, peer, report)
+    emitted = spreading.learn(state, now, report.notices)
     reported: list[models.TargetState] = []
     for load in report.loads:
         target = dispatcher.targets.get(load.target)
@@ -326,7 +331,7 @@
         speed = 1.0 / max(load.slowness, 0.01)
         target_health.record_report(target, now, load.outstanding, speed)
         reported.append(target)
-    emitted = decide(state, now, dispatcher)
+    emitted.extend(decide(state, now, dispatcher))
     emitted.extend(_hedge(state, now, dispatcher, reported))
     return emitted
 
@@ -347,7 +352,7 @@
     state: core_state.State, now: float, dispatcher: models.Dispatcher
 ) -> Effects:
     """Decide on the waiting requests and notify the requesting entries."""
-    limiting.update_paces(state, now, dispatcher)
+    restrictions.update(state, now, dispatcher)
     emitted: Effects = []
     for decision in scheduling.decide(dispatcher, now, state.rng):
         emitted.extend(_notify(state, now, dispatcher, decision))
@@ -404,5 +409,6 @@
                 decision.usable,
                 decision.request.work,
                 decision.limited,
+                decision.paused,
             )
             return owners.send(state, entry, refused)
--- a/src/agateshelf/core/dispatch/messages.py
+++ b/src/agateshelf/core/dispatch/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from agateshelf.core.peers import models as peer_models
-from agateshelf.core.target_limits import models as target_limit_models
+from agateshelf.core.target_notices import models as notice_models
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -35,6 +35,7 @@
         failure_domain: Failure domain of the targets.
         duration: Duration of the subscription in seconds; 0 cancels it.
         interval: Seconds between two probes of a target.
+        skipped: Targets that must not be probed, as they leave or pause.
     """
 
     wire_name: ClassVar[str] = "LoadsWanted"
@@ -43,6 +44,7 @@
     failure_domain: str
     duration: float = msgspec.field(name="seconds")
     interval: float = msgspec.field(name="every")
+    skipped: tuple[str, ...] = ()
 
 
 class LoadReport(peer_models.PeerMessage, frozen=True):
@@ -52,6 +54,7 @@
         service: Name of the service.
         failure_domain: Failure domain of the targets.
         loads: Loads of the targets that were probed.
+        notices: What the targets said of themselves.
     """
 
     wire_name: ClassVar[str] = "LoadsTold"
@@ -59,6 +62,7 @@
     service: str
     failure_domain: str
     loads: tuple[TargetLoad, ...]
+    notices: tuple[notice_models.Notice, ...] = ()
 
 
 class DispatchRequest(peer_models.PeerMessage, frozen=True, omit_defaults=True):
@@ -76,7 +80,7 @@
             latency.
         timeout: Seconds until the caller stops waiting.
         tried: Targets that the request was already sent to.
-        limits: Limits of the service's targets that the owner may not know.
+        notices: What the service's targets said that the owner may not know.
     """
 
     wire_name: ClassVar[str] = "TurnAsked"
@@ -90,7 +94,9 @@
     soft_timeout: float = msgspec.field(name="aim")
     timeout: float = msgspec.field(name="give_up")
     tried: tuple[str, ...] = ()
-    limits: tuple[target_limit_models.NamedLimit, ...] = ()
+    notices: tuple[notice_models.Notice, ...] = msgspec.field(
+        name="limits", default=()
+    )
 
 
 class DispatchQueued(peer_models.PeerMessage, frozen=True):
@@ -115,8 +121,8 @@
         speed: Speed that the target last reported; 1 is the usual speed.
         speed_age: Seconds since that report.
         outstanding: Other requests that the target holds.
-        limit: What the owner knows of the target's limit. If it has a rate, the
-            owner counted the request for it.
+        notice: What the owner knows of the target. If it has a rate, the owner
+            counted the request for it.
     """
 
     wire_name: ClassVar[str] = "TurnGiven"
@@ -127,7 +133,9 @@
     speed: float = 1.0
     speed_age: float = msgspec.field(name="heard", default=0.0)
     outstanding: int = msgspec.field(name="held", default=0)
-    limit: target_limit_models.NamedLimit | None = None
+    notice: notice_models.Notice | None = msgspec.field(
+        name="limit", default=None
+    )
 
 
 class DispatchRefused(peer_models.PeerMessage, frozen=True, omit_defaults=True):
@@ -142,6 +150,8 @@
         work: Estimated run time in seconds on an idle target of usual speed.
         limited_targets: Those of them that named a limit, if these left no room
             for the request.
+        paused_targets: Targets that want no requests now, if no other target
+            has room for the request.
     """
 
     wire_name: ClassVar[str] = "TurnRefused"
@@ -153,6 +163,7 @@
     usable_targets: int = msgspec.field(name="usable", default=0)
     work: float = 0.0
     limited_targets: int = 0
+    paused_targets: int = 0
 
 
 class DispatchEnded(peer_models.PeerMessage, frozen=True, omit_defaults=True):
@@ -168,7 +179,7 @@
         queued: Requests queued at the target by its response. The owner does
             not read it.
         slowness: Factor by which work took longer there than usual.
-        limit: What the answer said of the target's limit, if it has named one.
+        notice: What the target said of itself, if anything.
     """
 
     wire_name: ClassVar[str] = "TurnEnded"
@@ -179,4 +190,6 @@
     running: int | None = None
     queued: int = 0
     slowness: float = 1.0
-    limit: target_limit_models.NamedLimit | None = None
+    notice: notice_models.Notice | None = msgspec.field(
+        name="limit", default=None
+    )
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -8,7 +8,7 @@
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.dispatch import const
 from agateshelf.core.dispatch import messages
-from agateshelf.core.target_limits import models as target_limit_models
+from agateshelf.core.target_notices import models as notice_models
 
 RequestKey = tuple[str, int]
 
@@ -124,6 +124,9 @@
         unanswered_probes: Consecutive probes without a response.
         pace: Keeps the grants within the limit that it names; None if it names
             none.
+        leaving: Whether it said that it is leaving.
+        paused_until: Time until which it wants no requests.
+        resuming: Whether no request has succeeded there since its pause began.
     """
 
     registration: directory_models.Registration
@@ -142,13 +145,26 @@
     open_until: float = -math.inf
     next_open_seconds: float = const.INITIAL_OPEN_SECONDS
     unanswered_probes: int = 0
-    pace: target_limit_models.Pace | None = None
+    pace: notice_models.Pace | None = None
+    leaving: bool = False
+    paused_until: float = -math.inf
+    resuming: bool = False
 
     @property
     def outstanding(self) -> int:
         """Estimated number of requests that the target runs and queues."""
         return len(self.requests) + self.untracked
 
+    @property
+    def slots(self) -> int:
+        """Number of requests that it may hold; one just after a pause."""
+        return 1 if self.resuming else self.registration.slots
+
+    @property
+    def is_going(self) -> bool:
+        """Return whether it must get no more requests, by whichever source."""
+        return self.leaving or self.registration.draining
+
 
 @dataclasses.dataclass(slots=True)
 class RetryWindow:
@@ -175,11 +191,13 @@
         entry: Entry that samples.
         last_report_at: Time of its last report, or of its assignment.
         renew_at: Time at which the subscription is renewed.
+        skipped: Targets that it was told not to probe.
     """
 
     entry: str
     last_report_at: float
     renew_at: float = -math.inf
+    skipped: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,10 +207,12 @@
     Attributes:
         expires_at: Time at which the subscription ends.
         interval: Seconds between two probes of a target.
+        skipped: Targets that must not be probed.
     """
 
     expires_at: float
     interval: float
+    skipped: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -205,6 +225,7 @@
         subscriptions: Subscriptions by subscribing entry.
         probing: Targets with a probe in flight.
         loads: Loads received since the last report.
+        notices: What targets said of themselves since then.
         report_scheduled: Whether a report is scheduled.
     """
 
@@ -215,6 +236,9 @@
     )
     probing: set[str] = dataclasses.field(default_factory=set)
     loads: list[messages.TargetLoad] = dataclasses.field(default_factory=list)
+    notices: list[notice_models.Notice] = dataclasses.field(
+        default_factory=list
+    )
     report_scheduled: bool = False
 
 
@@ -241,6 +265,8 @@
         next_check_at: Time of the earliest scheduled check.
         next_return_at: Time before which no further refused request is told to
             come back, while targets name limits.
+        notices_seen: Number of changes of what targets said that were applied.
+        restricted: Targets that said anything of themselves.
         paced: Targets that have a pace.
         role: What this entry was to the service when paces were last set.
         paced_at: When paces were last set, in seconds.
@@ -265,8 +291,10 @@
     )
     next_check_at: float = math.inf
     next_return_at: float = -math.inf
+    notices_seen: int = 0
+    restricted: set[str] = dataclasses.field(default_factory=set)
     paced: set[str] = dataclasses.field(default_factory=set)
-    role: target_limit_models.Role | None = None
+    role: notice_models.Role | None = None
     paced_at: float = -math.inf
 
 
--- a/src/agateshelf/core/dispatch/requester.py
+++ b/src/agateshelf/core/dispatch/requester.py
@@ -15,7 +15,9 @@
 from agateshelf.core.dispatch import owners
 from agateshelf.core.forwarding import models as forwarding_models
 from agateshelf.core.peers import models as peer_models
-from agateshelf.core.target_limits import records as limit_records
+from agateshelf.core.target_notices import models as notice_models
+from agateshelf.core.target_notices import records as notice_records
+from agateshelf.core.target_notices import spreading
 
 Effects = list[effects.Effect]
 
@@ -59,9 +61,7 @@
         soft_timeout=call.soft_deadline - now,
         timeout=call.deadline - now,
         tried=tuple(sorted(call.tried)),
-        limits=limit_records.take_untold(
-            state, now, pending.owner, call.service
-        ),
+        notices=spreading.take_untold(state, now, pending.owner, call.service),
     )
     return owners.send(state, pending.owner, message)
 
@@ -120,7 +120,7 @@
         case messages.DispatchQueued():
             return _on_queued(state, now, peer, message)
         case messages.DispatchGranted():
-            _merge_limit(state, now, peer, message)
+            _merge_notice(state, now, peer, message)
             return _on_granted(state, peer, message)
         case messages.DispatchRefused():
             return _on_refused(state, peer, message)
@@ -128,21 +128,24 @@
             return None
 
 
-def _merge_limit(
+def _merge_notice(
     state: core_state.State,
     now: float,
     owner: str,
     reply: messages.DispatchGranted,
 ) -> None:
-    if reply.limit is None:
+    if reply.notice is None:
+        return
+    notice_records.merge(state, now, reply.notice)
+    known = notice_records.statement_of(state, now, reply.target)
+    if known is None or known.leaving or known.pause:
         return
-    limit_records.merge(state, now, reply.limit)
-    if reply.limit.rate == limit_records.active_rate(state, reply.target):
-        limit_records.mark_told(state, owner, reply.target)
+    if reply.notice.rate == known.rate:
+        spreading.mark_told(state, owner, reply.target)
 
 
 def _is_counted(reply: messages.DispatchGranted) -> bool:
-    return reply.limit is not None and reply.limit.rate is not None
+    return reply.notice is not None and reply.notice.rate is not None
 
 
 def _on_queued(
@@ -247,13 +250,25 @@
             ("usable_targets", reply.usable_targets),
             ("work_ms", round(reply.work * 1000, 1)),
             ("limited_targets", reply.limited_targets),
+            ("paused_targets", reply.paused_targets),
         ),
-        is_limited=reply.limited_targets > 0,
+        obstacle=_obstacle_of(reply),
     )
     state.pending_events.append(decided)
     return []
 
 
+def _obstacle_of(
+    reply: messages.DispatchRefused,
+) -> notice_models.Obstacle | None:
+    """Return what the targets said that left no room for a request."""
+    if reply.paused_targets:
+        return notice_models.Obstacle.PAUSED
+    if reply.limited_targets:
+        return notice_models.Obstacle.LIMITED
+    return None
+
+
 def cancel_request(state: core_state.State, number: int | None) -> Effects:
     """Cancel the pending request of a call that has ended."""
     if number is None:
--- a/src/agateshelf/core/dispatch/sampler_assignment.py
+++ b/src/agateshelf/core/dispatch/sampler_assignment.py
@@ -94,15 +94,39 @@
             )
         assignment = models.SamplerAssignment(chosen, last_report_at=now)
         dispatcher.samplers[domain] = assignment
-    if now >= assignment.renew_at:
+    skipped = _skipped_targets(dispatcher, now, domain)
+    if now >= assignment.renew_at or skipped != assignment.skipped:
         assignment.renew_at = now + const.SUBSCRIPTION_RENEW_SECONDS
+        assignment.skipped = skipped
         duration = const.IDLE_AFTER_SECONDS
         emitted.extend(
-            _subscribe(state, dispatcher, domain, chosen, duration=duration)
+            _subscribe(
+                state,
+                dispatcher,
+                domain,
+                chosen,
+                duration=duration,
+                skipped=skipped,
+            )
         )
     return emitted
 
 
+def _skipped_targets(
+    dispatcher: models.Dispatcher, now: float, domain: str
+) -> tuple[str, ...]:
+    """Return the targets of a failure domain that must not be probed."""
+    return tuple(
+        sorted(
+            name
+            for name in dispatcher.restricted
+            if (target := dispatcher.targets.get(name)) is not None
+            and target.registration.failure_domain == domain
+            and (target.leaving or now < target.paused_until)
+        )
+    )
+
+
 def _select_sampler(
     state: core_state.State,
     now: float,
@@ -141,6 +165,7 @@
     entry: str,
     *,
     duration: float,
+    skipped: tuple[str, ...] = (),
 ) -> Effects:
     interval = probe_interval(state.dispatch.bounds)
     if (
@@ -154,7 +179,7 @@
             / const.FALLBACK_OWNERS_EQUIVALENT,
         )
     subscription = messages.LoadSubscription(
-        dispatcher.service, domain, duration, interval
+        dispatcher.service, domain, duration, interval, skipped
     )
     return owners.send(state, entry, subscription)
 
--- a/src/agateshelf/core/dispatch/sampling.py
+++ b/src/agateshelf/core/dispatch/sampling.py
@@ -18,6 +18,8 @@
 from agateshelf.core.dispatch import messages
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import owners
+from agateshelf.core.target_notices import gate
+from agateshelf.core.target_notices import records as notice_records
 
 Effects = list[effects.Effect]
 
@@ -36,18 +38,24 @@
             sampler.subscriptions.pop(peer, None)
         return []
     if sampler is not None:
-        sampler.subscriptions[peer] = models.Subscription(
-            now + subscription.duration, subscription.interval
-        )
+        sampler.subscriptions[peer] = _subscription_of(subscription, now)
         return []
     sampler = models.Sampler(*key)
-    sampler.subscriptions[peer] = models.Subscription(
-        now + subscription.duration, subscription.interval
-    )
+    sampler.subscriptions[peer] = _subscription_of(subscription, now)
     state.dispatch.samplers[key] = sampler
     return on_due(state, now, models.ProbesDue(*key))
 
 
+def _subscription_of(
+    subscription: messages.LoadSubscription, now: float
+) -> models.Subscription:
+    return models.Subscription(
+        now + subscription.duration,
+        subscription.interval,
+        frozenset(subscription.skipped),
+    )
+
+
 def on_due(
     state: core_state.State, now: float, event: models.ProbesDue
 ) -> Effects:
@@ -74,7 +82,7 @@
     timers.schedule(state.timers, now + interval * jitter, event)
     # Sent even if no target responds: it shows that this sampler is alive.
     _schedule_report(state, now, sampler)
-    return _probe(state, sampler)
+    return _probe(state, now, sampler)
 
 
 def _targets_of(state: core_state.State, sampler: models.Sampler) -> list[str]:
@@ -86,15 +94,22 @@
     ]
 
 
-def _probe(state: core_state.State, sampler: models.Sampler) -> Effects:
+def _probe(
+    state: core_state.State, now: float, sampler: models.Sampler
+) -> Effects:
     table = state.routes.table
     path = None if table is None else table.health_paths.get(sampler.service)
     if path is None:
         return []
+    skipped = set(sampler.probing).union(
+        *(one.skipped for one in sampler.subscriptions.values())
+    )
     emitted: Effects = []
     for target in _targets_of(state, sampler):
         registration = state.directory.targets[target]
-        if target in sampler.probing or registration.draining:
+        if target in skipped or registration.draining:
+            continue
+        if not gate.may_probe(state, now, target):
             continue
         sampler.probing.add(target)
         emitted.append(
@@ -113,6 +128,9 @@
     state: core_state.State, now: float, event: events.TargetProbed
 ) -> Effects:
     """Store a target's load, or a missing response, for the next report."""
+    emitted = notice_records.on_probe(
+        state, now, event.target, leaving=event.leaving
+    )
     for sampler in state.dispatch.samplers.values():
         if sampler.service != event.service:
             continue
@@ -120,8 +138,11 @@
             continue
         sampler.probing.discard(event.target)
         sampler.loads.append(_load_of(event))
+        notice = notice_records.statement_of(state, now, event.target)
+        if event.leaving and notice is not None:
+            sampler.notices.append(notice)
         _schedule_report(state, now, sampler)
-    return []
+    return emitted
 
 
 def _load_of(event: events.TargetProbed) -> messages.TargetLoad:
@@ -151,8 +172,11 @@
     if sampler is None:
         return []
     sampler.report_scheduled = False
-    report = messages.LoadReport(*key, tuple(sampler.loads))
+    report = messages.LoadReport(
+        *key, tuple(sampler.loads), tuple(sampler.notices)
+    )
     sampler.loads.clear()
+    sampler.notices.clear()
     own_entry = state.identity.entry
     others = tuple(peer for peer in sampler.subscriptions if peer != own_entry)
     emitted: Effects = []
--- a/src/agateshelf/core/dispatch/scheduling.py
+++ b/src/agateshelf/core/dispatch/scheduling.py
@@ -21,7 +21,7 @@
 from agateshelf.core.dispatch import estimates
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import target_health
-from agateshelf.core.target_limits import pacing
+from agateshelf.core.target_notices import pacing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +49,8 @@
         usable: Number of targets that may currently get requests.
         limited: Number of these that named a limit, if their limits left no
             room for the request.
+        paused: Number of targets that want no requests now, if no other target
+            has room for the request.
     """
 
     request: models.Request
@@ -57,6 +59,7 @@
     waiting: int = 0
     usable: int = 0
     limited: int = 0
+    paused: int = 0
 
 
 Decision = Grant | Refuse
@@ -104,7 +107,7 @@
     for target in usable:
         if not _is_within_limit(target, now):
             continue
-        slots = target.registration.slots
+        slots = target.slots
         free = slots - target.outstanding
         free_slots.total += slots
         if free > 0:
@@ -121,7 +124,7 @@
     free_slots: FreeSlots, target: models.TargetState, now: float
 ) -> None:
     free_slots.count -= 1
-    is_full = target.outstanding >= target.registration.slots
+    is_full = target.outstanding >= target.slots
     if is_full or not _is_within_limit(target, now):
         free_slots.targets.remove(target)
 
@@ -134,12 +137,15 @@
     if not dispatcher.waiting:
         return []
     usable = usable_targets(dispatcher, now)
+    paused = [] if usable else _paused_targets(dispatcher, now)
     free_slots = _find_free_slots(usable, now)
     emitted: list[Decision] = []
     late: list[models.Request] = []
     ungranted: list[models.Request] = []
     for request in _by_urgency(dispatcher, now):
         refusal = _refusal_reason(dispatcher, request, now)
+        if not usable and not paused:
+            refusal = models.Refusal.NO_TARGET
         if refusal is not None:
             emitted.append(_refuse(dispatcher, request, refusal, usable, rng))
             continue
@@ -151,9 +157,9 @@
         ungranted.append(request)
         if is_unavoidably_late(request, now):
             late.append(request)
-    emitted.extend(_shed_late(dispatcher, usable, late, rng))
+    emitted.extend(_shed_late(dispatcher, [*usable, *paused], late, rng))
     emitted.extend(
-        _refuse_without_room(dispatcher, usable, ungranted, now, rng)
+        _refuse_without_room(dispatcher, usable, paused, ungranted, now, rng)
     )
     return emitted
 
@@ -161,18 +167,21 @@
 def _refuse_without_room(
     dispatcher: models.Dispatcher,
     usable: abc.Sequence[models.TargetState],
+    paused: abc.Sequence[models.TargetState],
     ungranted: abc.Sequence[models.Request],
     now: float,
     rng: random.Random,
 ) -> list[Decision]:
-    """Refuse requests for which limited targets leave no room in time.
+    """Refuse requests for which restricted targets leave no room in time.
 
-    Answers the load of a service whose targets name limits below its requests.
-    The callers are told to come back one after the other, when there is room.
+    Answers the load of a service whose targets name limits below its requests,
+    or all ask for a pause. The callers are told to come back one after the
+    other, when there is room.
 
     Args:
         dispatcher: The dispatcher of the service.
         usable: The targets that may get requests now.
+        paused: The targets that want no requests now, if none is usable.
         ungranted: Requests that were not granted, the most urgent first; those
             refused meanwhile are left out.
         now: Current time in seconds.
@@ -180,16 +189,18 @@
     """
     waiting = [r for r in ungranted if r.key in dispatcher.waiting]
     limited = sum(target.pace is not None for target in usable)
-    if not limited or not waiting:
+    if not (limited or paused) or not waiting:
         return []
     work = sum(request.work for request in waiting) / len(waiting)
-    turnovers = [_turnover_of(target, work, now) for target in usable]
+    turnovers = [
+        _turnover_of(target, work, now) for target in (*usable, *paused)
+    ]
     starts = _expected_starts(turnovers)
     start = next(starts)
     refused: list[models.Request] = []
     # Requests that can be in time take all the room while some are refused, so
     # that others would wait for nothing.
-    only_in_time = dispatcher.next_return_at > now
+    only_in_time = bool(paused) or dispatcher.next_return_at > now
     for request in waiting:
         end = request.soft_deadline if only_in_time else request.deadline
         if start + request.work > end:
@@ -208,6 +219,7 @@
                 waiting=len(dispatcher.waiting),
                 usable=len(usable),
                 limited=limited,
+                paused=len(paused),
             )
         )
     return emitted
@@ -234,9 +246,10 @@
         dispatcher.next_return_at,
         now + const.MIN_ROOM_RETRY_AFTER_SECONDS,
     )
-    latest = now + const.MAX_ROOM_RETRY_AFTER_SECONDS
-    if at > latest:
-        return now + const.MAX_ROOM_RETRY_AFTER_SECONDS * rng.uniform(0.5, 1.0)
+    first = max(start, now)
+    if at > first + const.MAX_ROOM_RETRY_AFTER_SECONDS:
+        spread = rng.uniform(0.5, 1.0)
+        return first + const.MAX_ROOM_RETRY_AFTER_SECONDS * spread
     dispatcher.next_return_at = at + gap
     return at
 
@@ -265,9 +278,10 @@
             usual speed.
         now: Current time in seconds.
     """
-    slots = target.registration.slots
+    slots = target.slots
     interval = estimates.uncontended_seconds(target, work, now) / slots
     first = now if target.outstanding < slots else now + interval
+    first = max(first, target.paused_until)
     if target.pace is not None:
         first = max(first, pacing.next_at(target.pace, now))
         interval = max(interval, 1.0 / target.pace.rate)
@@ -370,13 +384,13 @@
 ) -> list[models.TargetState]:
     """Return the targets that may get requests now.
 
-    If too many are unavailable, all but draining targets are returned (panic
-    mode).
+    If too many are unavailable, all are returned that neither leave nor pause
+    (panic mode).
     """
     serving = [
         target
         for target in dispatcher.targets.values()
-        if not target.registration.draining
+        if not target.is_going and now >= target.paused_until
     ]
     healthy = [t for t in serving if not target_health.is_unavailable(t, now)]
     if len(healthy) < const.PANIC_THRESHOLD * len(serving):
@@ -384,6 +398,16 @@
     return healthy
 
 
+def _paused_targets(
+    dispatcher: models.Dispatcher, now: float
+) -> list[models.TargetState]:
+    return [
+        target
+        for target in dispatcher.targets.values()
+        if not target.is_going and now < target.paused_until
+    ]
+
+
 def _select_target(
     dispatcher: models.Dispatcher,
     free_slots: FreeSlots,
@@ -469,7 +493,7 @@
 ) -> bool:
     if target.registration.id in request.tried:
         return False
-    if target.outstanding >= target.registration.slots:
+    if target.outstanding >= target.slots:
         return False
     return _is_within_limit(target, now)
 
--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -48,6 +48,12 @@
     attempt: int
 
 
+class AbortUnsentAttempts(msgspec.Struct, frozen=True):
+    """Abandon the attempts of a target of which no byte was sent yet."""
+
+    target: str
+
+
 class CheckTarget(msgspec.Struct, frozen=True):
     """Check whether a target still accepts connections.
 
@@ -270,6 +276,7 @@
 Effect = (
     StartAttempt
     | CancelAttempt
+    | AbortUnsentAttempts
     | CheckTarget
     | DeliverAnswer
     | Replay
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -16,6 +16,7 @@
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
 from agateshelf.core.poison import models as poison_models
+from agateshelf.core.target_notices import models as notice_models
 
 # Imported for types only: an entry that follows routes doesn't load the modules
 # that only services need.
@@ -93,7 +94,9 @@
         misdirected: Whether the address now belongs to another target.
         limit: Requests a second that the target takes from all entries
             together, if it named a limit.
-        invalid_limit: The limit that it named if it is not valid.
+        pause: Seconds for which it wants no requests; 0 if it asked for none.
+        invalid_notices: What the target said of itself that is not valid, as
+            pairs of the kind (`limit`, `leaving` or `pause`) and the text.
     """
 
     attempt: int
@@ -106,7 +109,8 @@
     not_run: bool = False
     misdirected: bool = False
     limit: float | None = None
-    invalid_limit: str = ""
+    pause: float = 0.0
+    invalid_notices: tuple[tuple[str, str], ...] = ()
 
 
 class TargetRefused(msgspec.Struct, frozen=True):
@@ -471,11 +475,13 @@
         service: Service of the target.
         target: Identifier of the target.
         load: Load that it reported; None if it did not answer.
+        leaving: Whether it said that it is leaving.
     """
 
     service: str
     target: str
     load: TargetLoad | None
+    leaving: bool = False
 
 
 class DispatchDecided(msgspec.Struct, frozen=True):
@@ -491,7 +497,8 @@
         retry_after: Seconds after which a retry may succeed.
         log_details: The owner's data on the target, for the log.
         is_counted: Whether the owner counted it for the target's limit.
-        is_limited: Whether the limits that targets named left no room for it.
+        obstacle: What the targets said of themselves that left no room for it,
+            if that is why it was refused.
     """
 
     call: int
@@ -502,7 +509,7 @@
     retry_after: float = 0.0
     log_details: tuple[tuple[str, float], ...] = ()
     is_counted: bool = False
-    is_limited: bool = False
+    obstacle: notice_models.Obstacle | None = None
 
 
 class TargetChosen(msgspec.Struct, frozen=True):
--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -16,7 +16,8 @@
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import verdicts
 from agateshelf.core.poison import sends
-from agateshelf.core.target_limits import records as target_limits
+from agateshelf.core.target_notices import records as notice_records
+from agateshelf.core.target_notices import spreading
 
 Effects = list[effects.Effect]
 Verdict = outcome_models.Verdict
@@ -34,7 +35,7 @@
         attempt.running = event.load.in_flight
         attempt.queued = event.load.queued
         attempt.slowness = event.load.slowness
-    emitted = _note_limit(state, now, attempt, event)
+    emitted = _note_notice(state, now, attempt, event)
     if event.streaming:
         return [*emitted, *_deliver_stream(state, now, call, attempt)]
     ending = _ending_of(event)
@@ -70,25 +71,26 @@
     return emitted
 
 
-def _note_limit(
+def _note_notice(
     state: core_state.State,
     now: float,
     attempt: models.Attempt,
     event: events.AttemptAnswered,
 ) -> Effects:
-    """Record what an answer says of its target's limit, to tell the owner."""
+    """Record what an answer says of its target, to tell the owner."""
     if event.misdirected:
         return []
-    emitted = target_limits.on_answer(state, now, attempt.target, event)
-    if not event.invalid_limit:
-        attempt.limit = target_limits.statement_of(state, now, attempt.target)
-        target_limits.mark_told(state, attempt.owner, attempt.target)
+    emitted = notice_records.on_answer(state, now, attempt.target, event)
+    attempt.notice = notice_records.statement_of(state, now, attempt.target)
+    spreading.mark_told(state, attempt.owner, attempt.target)
     return emitted
 
 
 def _ending_of(event: events.AttemptAnswered) -> dispatch_models.Ending:
     if event.misdirected:
         return dispatch_models.Ending.MISPLACED
+    if event.pause:
+        return dispatch_models.Ending.NEUTRAL
     if event.not_run:
         return dispatch_models.Ending.REFUSED
     if event.status >= const.FIRST_SERVER_ERROR:
@@ -132,11 +134,35 @@
         return []
     if may_retry(now, call):
         return requester.request_dispatch(state, now, call)
+    pause = _pause_of(state, now, call.service)
     return lifecycle.give_up(
-        state, now, call, refusals.refused_by_targets(call)
+        state, now, call, refusals.refused_by_targets(call, pause)
     )
 
 
+def _pause_of(state: core_state.State, now: float, service: str) -> float:
+    """Return the seconds until a target of a service wants requests again.
+
+    It is 0 if any target of the service may want them now.
+    """
+    ends = [
+        record.paused_until
+        for target in state.directory.services.get(service, ())
+        if (record := state.target_notices.records.get(target)) is not None
+        and not record.leaving
+    ]
+    going = sum(
+        notice_records.is_leaving(state, target)
+        or state.directory.targets[target].draining
+        for target in state.directory.services.get(service, ())
+    )
+    if not ends or len(ends) + going < len(
+        state.directory.services.get(service, ())
+    ):
+        return 0.0
+    return max(0.0, min(ends) - now)
+
+
 def may_retry(now: float, call: models.Call) -> bool:
     """Return whether a retry can't run the request twice and is worthwhile."""
     if call.dispatch_number is not None or call.attempts:
--- a/src/agateshelf/core/forwarding/const.py
+++ b/src/agateshelf/core/forwarding/const.py
@@ -6,8 +6,9 @@
 POISON_CRASHES: Final = 2
 # No further attempt starts with less time than this left to the deadline.
 MIN_ATTEMPT_SECONDS: Final = 0.03
-# Grants of an owner that counts no limits after which a call is refused.
-MAX_UNCOUNTED_GRANTS: Final = 1
+# Declined grants after which a call is refused: an owner of an earlier version
+# learns nothing from them.
+MAX_DECLINED_GRANTS: Final = 1
 NOT_READY_RETRY_AFTER_SECONDS: Final = 0.5
 RETRY_AFTER_SECONDS: Final = 0.5
 
@@ -21,3 +22,4 @@
 REASON_OVERLOAD: Final = "overload"
 REASON_TARGETS_FULL: Final = "targets-full"
 REASON_TARGETS_LIMITED: Final = "targets-limited"
+REASON_TARGETS_PAUSED: Final = "targets-paused"
--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -21,8 +21,10 @@
 from agateshelf.core.routes import matching
 from agateshelf.core.routes import models as route_models
 from agateshelf.core.routes import splitting
-from agateshelf.core.target_limits import gate
-from agateshelf.core.target_limits import records as target_limits
+from agateshelf.core.target_notices import gate
+from agateshelf.core.target_notices import models as notice_models
+from agateshelf.core.target_notices import records as notice_records
+from agateshelf.core.target_notices import spreading
 
 Effects = list[effects.Effect]
 
@@ -147,8 +149,11 @@
         if is_hedge:
             return emitted
         return [*emitted, *requester.request_dispatch(state, now, call)]
-    if not gate.may_send(state, now, event.target, is_counted=event.is_counted):
-        return _on_uncounted_grant(state, now, call, event)
+    obstacle = gate.check_send(
+        state, now, event.target, is_counted=event.is_counted
+    )
+    if obstacle is not None:
+        return _decline_grant(state, now, call, event, obstacle)
     refusal = sends.start(
         state,
         now,
@@ -163,22 +168,31 @@
     return _start_attempt(state, now, call, registration, event)
 
 
-def _on_uncounted_grant(
+def _decline_grant(
     state: core_state.State,
     now: float,
     call: models.Call,
     event: events.DispatchDecided,
+    obstacle: notice_models.Obstacle,
 ) -> Effects:
-    """Tell the owner of the limits and ask it again, once."""
-    target_limits.mark_untold(state, event.owner)
-    emitted = _release_grant(state, event, dispatch_models.Ending.NEUTRAL)
-    emitted.append(effects.Count("limit.uncounted_grants"))
+    """Tell the owner what its targets said and ask it again, once."""
+    spreading.mark_untold(state, event.owner)
+    notice = notice_records.statement_of(state, now, event.target or "")
+    emitted = _release_grant(
+        state, event, dispatch_models.Ending.NEUTRAL, notice
+    )
+    details = (
+        ("target", event.target),
+        ("home", event.owner),
+        ("reason", obstacle.value),
+    )
+    emitted.append(effects.LogEvent("grant.declined", call.request_id, details))
     if call.attempts:
         return emitted
-    call.uncounted_grants += 1
-    if call.uncounted_grants <= const.MAX_UNCOUNTED_GRANTS:
+    call.declined_grants += 1
+    if call.declined_grants <= const.MAX_DECLINED_GRANTS:
         return [*emitted, *requester.request_dispatch(state, now, call)]
-    refusal = refusals.targets_limited(call)
+    refusal = refusals.no_room(call, obstacle)
     return [*emitted, *give_up(state, now, call, refusal)]
 
 
@@ -274,10 +288,13 @@
     state: core_state.State,
     event: events.DispatchDecided,
     ending: dispatch_models.Ending,
+    notice: notice_models.Notice | None = None,
 ) -> Effects:
     if event.target is None:
         return []
-    unused = dispatch_messages.DispatchEnded(event.dispatch_number, ending)
+    unused = dispatch_messages.DispatchEnded(
+        event.dispatch_number, ending, notice=notice
+    )
     return owners.send(state, event.owner, unused)
 
 
@@ -290,8 +307,8 @@
     if call.attempts:
         return []
     refusal = refusals.not_granted(call, event.reason, event.retry_after)
-    if event.is_limited:
-        refusal = refusals.targets_limited(call, event.retry_after)
+    if event.obstacle is not None:
+        refusal = refusals.no_room(call, event.obstacle, event.retry_after)
     return give_up(state, now, call, refusal, event.log_details)
 
 
@@ -314,7 +331,7 @@
         running=attempt.running,
         queued=attempt.queued,
         slowness=attempt.slowness,
-        limit=attempt.limit,
+        notice=attempt.notice,
     )
     return call, attempt, owners.send(state, attempt.owner, ended)
 
--- a/src/agateshelf/core/forwarding/models.py
+++ b/src/agateshelf/core/forwarding/models.py
@@ -4,7 +4,7 @@
 
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.routes import models as route_models
-from agateshelf.core.target_limits import models as target_limit_models
+from agateshelf.core.target_notices import models as notice_models
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,7 +24,7 @@
         queued: Requests queued at the target, as reported with the answer.
         slowness: Ratio of the target's current processing time to its usual
             one.
-        limit: What the answer said of the target's limit, for the owner.
+        notice: What its target said of itself, for the owner.
     """
 
     number: int
@@ -36,7 +36,7 @@
     running: int | None = None
     queued: int = 0
     slowness: float = 1.0
-    limit: target_limit_models.NamedLimit | None = None
+    notice: notice_models.Notice | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,8 +60,8 @@
         verdict: The worst verdict of its ended attempts.
         lost_connections: Attempts that lost their connection after any byte of
             the request was sent.
-        uncounted_grants: Grants that were turned down, as the owner didn't
-            count them for their target's limit.
+        declined_grants: Grants that were turned down, as the owner didn't
+            know what their target had said of itself.
     """
 
     number: int
@@ -78,7 +78,7 @@
     attempt_count: int = 0
     verdict: outcome_models.Verdict = outcome_models.Verdict.DID_NOT_RUN
     lost_connections: int = 0
-    uncounted_grants: int = 0
+    declined_grants: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/agateshelf/core/forwarding/refusals.py
+++ b/src/agateshelf/core/forwarding/refusals.py
@@ -6,6 +6,7 @@
 from agateshelf.core.outcomes import const as outcome_const
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import verdicts
+from agateshelf.core.target_notices import models as notice_models
 
 _NOT_RUN = outcome_models.Outcome.NOT_RUN
 
@@ -62,21 +63,36 @@
     )
 
 
-def targets_limited(
-    call: models.Call, retry_after: float = const.RETRY_AFTER_SECONDS
+_OBSTACLE_DETAILS = {
+    notice_models.Obstacle.LEAVING: (
+        outcome_const.REASON_NO_TARGET,
+        "The service has no target that isn't leaving.",
+    ),
+    notice_models.Obstacle.PAUSED: (
+        const.REASON_TARGETS_PAUSED,
+        "The targets asked for a pause that ends too late for the request.",
+    ),
+    notice_models.Obstacle.LIMITED: (
+        const.REASON_TARGETS_LIMITED,
+        "The targets named limits that leave no room before the deadline.",
+    ),
+}
+
+
+def no_room(
+    call: models.Call,
+    obstacle: notice_models.Obstacle,
+    retry_after: float = const.RETRY_AFTER_SECONDS,
 ) -> outcome_models.Refusal:
-    """Return the refusal of a call for which limited targets have no room.
+    """Return the refusal of a call for which restricted targets have no room.
 
     Args:
         call: The call.
+        obstacle: What the targets said of themselves.
         retry_after: Seconds after which there may be room.
     """
-    return _refusal(
-        call,
-        const.REASON_TARGETS_LIMITED,
-        "The targets named limits that leave no room before the deadline.",
-        retry_after,
-    )
+    reason, detail = _OBSTACLE_DETAILS[obstacle]
+    return _refusal(call, reason, detail, retry_after)
 
 
 def target_failed(call: models.Call) -> outcome_models.Refusal:
@@ -89,8 +105,17 @@
     )
 
 
-def refused_by_targets(call: models.Call) -> outcome_models.Refusal:
-    """Return the refusal of a call that its targets refused to run."""
+def refused_by_targets(
+    call: models.Call, pause: float
+) -> outcome_models.Refusal:
+    """Return the refusal of a call that its targets refused to run.
+
+    Args:
+        call: The call.
+        pause: Seconds for which all targets of its service want no requests.
+    """
+    if pause > 0:
+        return no_room(call, notice_models.Obstacle.PAUSED, pause)
     return _refusal(
         call,
         const.REASON_TARGETS_FULL,
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -17,7 +17,8 @@
 from agateshelf.core.forwarding import lifecycle
 from agateshelf.core.poison import evidence
 from agateshelf.core.poison import persistence
-from agateshelf.core.target_limits import records as target_limits
+from agateshelf.core.target_notices import records as notice_records
+from agateshelf.core.target_notices import spreading
 
 Effects = list[effects.Effect]
 
@@ -96,7 +97,7 @@
             owners.clear_rankings(state)
             return dispatchers.start_owned(state, now)
         case events.TargetsChanged():
-            target_limits.on_targets_changed(state, event)
+            notice_records.on_targets_changed(state, event)
             return [
                 *evidence.on_targets_changed(state, now, event),
                 *sampling.on_targets_changed(state, event),
@@ -104,8 +105,10 @@
             ]
         case events.LiveEntriesChanged():
             owners.clear_rankings(state)
-            target_limits.on_entries(state, event)
-            return dispatchers.on_entries(state, now)
+            return [
+                *spreading.on_entries(state, now),
+                *dispatchers.on_entries(state, now),
+            ]
         case events.CrashesChanged():
             return [
                 *lifecycle.on_crashes_changed(state, now, event),
@@ -136,6 +139,7 @@
         dispatchers.on_message,
         requester.on_message,
         relaying.on_message,
+        spreading.on_message,
     ):
         emitted = handle(state, now, event.peer, event.message)
         if emitted is not None:
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -15,7 +15,7 @@
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.poison import models as poison_models
 from agateshelf.core.routes import models as route_models
-from agateshelf.core.target_limits import models as target_limit_models
+from agateshelf.core.target_notices import models as notice_models
 
 if TYPE_CHECKING:
     from agateshelf.core.calls import models as call_models
@@ -84,8 +84,8 @@
     dispatch: dispatch_models.DispatchState = dataclasses.field(
         default_factory=dispatch_models.DispatchState
     )
-    target_limits: target_limit_models.TargetLimitsState = dataclasses.field(
-        default_factory=target_limit_models.TargetLimitsState
+    target_notices: notice_models.NoticesState = dataclasses.field(
+        default_factory=notice_models.NoticesState
     )
     forwarding: forwarding_models.ForwardingState = dataclasses.field(
         default_factory=forwarding_models.ForwardingState
--- a/src/agateshelf/core/target_limits/const.py
+++ b/src/agateshelf/core/target_notices/const.py
@@ -1,4 +1,4 @@
-"""Rates, shares and intervals of the limits that targets name."""
+"""Rates, shares and intervals of what targets say of themselves."""
 
 from typing import Final
 
@@ -18,7 +18,13 @@
 # off and to send its share of a limit.
 LOST_SECONDS: Final = 300.0
 
-# Interval between two log lines about the limit of one target.
+# A longer pause is cut to this: a target that would stay away for longer has to
+# leave, and a wrong value must not lose it for good.
+MAX_PAUSE_SECONDS: Final = 3600.0
+# A pause whose end differs by less is the same one, told again with a delay.
+PAUSE_TOLERANCE_SECONDS: Final = 0.1
+
+# Interval between two log lines about the notices of one target.
 LOG_INTERVAL_SECONDS: Final = 1.0
 MAX_LOGGED_TARGETS: Final = 1024
 MAX_LOGGED_CHARACTERS: Final = 40
--- /dev/null
+++ b/src/agateshelf/core/target_notices/gate.py
@@ -0,0 +1,67 @@
+"""Looks at each send to a target once more, at the entry that sends.
+
+Answers the load of an owner that grants without knowing what a target said: one
+that has just taken over or, during an upgrade, knows no notices at all. Nothing
+is sent to a target that is known here to be leaving or paused. A grant that the
+owner didn't count for the target's limit is sent only within the small share
+that an entry has without an owner.
+"""
+
+from agateshelf.core import state as core_state
+from agateshelf.core.target_notices import const
+from agateshelf.core.target_notices import models
+from agateshelf.core.target_notices import pacing
+from agateshelf.core.target_notices import records
+from agateshelf.core.target_notices import sharing
+
+
+def check_send(
+    state: core_state.State, now: float, target: str, *, is_counted: bool
+) -> models.Obstacle | None:
+    """Return why a granted request can't be sent; count it if it can.
+
+    Args:
+        state: State of the entry.
+        now: Current time in seconds.
+        target: The granted target.
+        is_counted: Whether the owner counted the request for the target's
+            limit.
+    """
+    if target not in state.target_notices.records:
+        return None
+    if records.is_leaving(state, target):
+        return models.Obstacle.LEAVING
+    if records.is_paused(state, now, target):
+        return models.Obstacle.PAUSED
+    rate = records.active_rate(state, target)
+    if rate is None or is_counted or _take_own(state, now, target, rate):
+        return None
+    return models.Obstacle.LIMITED
+
+
+def may_probe(state: core_state.State, now: float, target: str) -> bool:
+    """Return whether a probe may be sent to a target."""
+    if target not in state.target_notices.records:
+        return True
+    return not (
+        records.is_leaving(state, target)
+        or records.is_paused(state, now, target)
+    )
+
+
+def _take_own(
+    state: core_state.State, now: float, target: str, rate: float
+) -> bool:
+    """Count a send within this entry's own share; return whether it fits."""
+    own_rate = sharing.rate_of(
+        rate, sharing.share_of(state, now, models.Role.OTHER)
+    )
+    paces = state.target_notices.own_paces
+    pace = paces.get(target)
+    if pace is None or now - pace.updated_at > const.FALLBACK_IDLE_SECONDS:
+        pace = paces[target] = pacing.create_pace(now, own_rate)
+    pacing.set_rate(pace, now, own_rate)
+    if not pacing.may_send(pace, now):
+        return False
+    pacing.take(pace, now)
+    return True
--- a/src/agateshelf/core/target_limits/pacing.py
+++ b/src/agateshelf/core/target_notices/pacing.py
@@ -6,8 +6,8 @@
 
 import math
 
-from agateshelf.core.target_limits import const
-from agateshelf.core.target_limits import models
+from agateshelf.core.target_notices import const
+from agateshelf.core.target_notices import models
 
 
 def create_pace(now: float, rate: float) -> models.Pace:
--- a/src/agateshelf/core/target_limits/sharing.py
+++ b/src/agateshelf/core/target_notices/sharing.py
@@ -11,8 +11,8 @@
 from agateshelf.core import state as core_state
 from agateshelf.core.dispatch import owners
 from agateshelf.core.membership import view
-from agateshelf.core.target_limits import const
-from agateshelf.core.target_limits import models
+from agateshelf.core.target_notices import const
+from agateshelf.core.target_notices import models
 
 
 def role_of(state: core_state.State, service: str) -> models.Role:
--- /dev/null
+++ b/src/agateshelf/core/target_notices/spreading.py
@@ -0,0 +1,148 @@
+"""Tells owners what targets said of themselves.
+
+Answers the load of targets that leave or ask for a pause while owners come and
+go. An entry hears of it with an answer and tells the owner that granted the
+send with the end of that send, at no further message. An owner that has just
+taken over, or has started again, is told with the first request of every entry
+that knows of anything. That is enough for limits, which successors count
+anyway. Of targets that leave or pause, an owner also tells its successor, and
+every entry that knows tells a new owner as soon as it sees it.
+"""
+
+from collections import abc
+
+from agateshelf.core import effects
+from agateshelf.core import state as core_state
+from agateshelf.core.dispatch import owners
+from agateshelf.core.peers import models as peer_models
+from agateshelf.core.target_notices import messages
+from agateshelf.core.target_notices import models
+from agateshelf.core.target_notices import records
+
+Effects = list[effects.Effect]
+
+
+def _process_of(state: core_state.State, entry: str) -> tuple[str, int]:
+    member = state.membership.members.get(entry)
+    return entry, 0 if member is None else member.incarnation
+
+
+def take_untold(
+    state: core_state.State,
+    now: float,
+    owner: str,
+    service: str,
+    *,
+    only_closed: bool = False,
+) -> tuple[models.Notice, ...]:
+    """Return the notices that an owner was not told of; it is told from now on.
+
+    Args:
+        state: State of the entry.
+        now: Current time in seconds.
+        owner: The owner.
+        service: Service whose targets' notices are returned.
+        only_closed: Whether to leave out targets that merely name a limit.
+    """
+    if owner == state.identity.entry or not state.target_notices.records:
+        return ()
+    process = _process_of(state, owner)
+    applies = records.is_closed if only_closed else records.is_active
+    untold = []
+    for target, record in state.target_notices.records.items():
+        if process in record.told or not applies(record, now):
+            continue
+        registration = state.directory.targets.get(target)
+        if registration is None or registration.service != service:
+            continue
+        record.told.add(process)
+        notice = records.statement_of(state, now, target)
+        if notice is not None:
+            untold.append(notice)
+    return tuple(untold)
+
+
+def mark_told(state: core_state.State, owner: str, target: str) -> None:
+    """Note that an owner knows what a target said."""
+    record = state.target_notices.records.get(target)
+    if record is not None:
+        record.told.add(_process_of(state, owner))
+
+
+def mark_untold(state: core_state.State, owner: str) -> None:
+    """Note that an owner knows nothing, as after its restart."""
+    process = _process_of(state, owner)
+    for record in state.target_notices.records.values():
+        record.told.discard(process)
+
+
+def learn(
+    state: core_state.State, now: float, notices: tuple[models.Notice, ...]
+) -> Effects:
+    """Record notices from another entry; an owner tells its successor."""
+    services = {
+        state.directory.targets[notice.target].service
+        for notice in notices
+        if records.merge(state, now, notice)
+    }
+    emitted: Effects = []
+    for service in sorted(services):
+        ranking = owners.owner_ranking(state, service)
+        if ranking[:1] == (state.identity.entry,):
+            for successor in ranking[1:2]:
+                emitted.extend(_tell(state, now, successor, service))
+    return emitted
+
+
+def on_entries(state: core_state.State, now: float) -> Effects:
+    """Tell the owners that this entry now sees what they may not know."""
+    notices = state.target_notices
+    if not notices.records:
+        return []
+    processes = {
+        _process_of(state, entry) for entry in state.membership.failure_domains
+    }
+    for record in notices.records.values():
+        record.told &= processes
+    emitted: Effects = []
+    for service in sorted(_services_of(state, notices.records)):
+        ranking = owners.owner_ranking(state, service)
+        if ranking[:1] == (state.identity.entry,):
+            ranking = ranking[1:]
+        for entry in ranking[:1]:
+            emitted.extend(_tell(state, now, entry, service))
+    return emitted
+
+
+def _services_of(
+    state: core_state.State, targets: abc.Iterable[str]
+) -> set[str]:
+    return {
+        registration.service
+        for target in targets
+        if (registration := state.directory.targets.get(target)) is not None
+    }
+
+
+def _tell(
+    state: core_state.State, now: float, entry: str, service: str
+) -> Effects:
+    untold = take_untold(state, now, entry, service, only_closed=True)
+    if not untold:
+        return []
+    return owners.send(state, entry, messages.TargetNotices(untold))
+
+
+def on_message(
+    state: core_state.State,
+    now: float,
+    peer: str,
+    message: peer_models.PeerMessage,
+) -> Effects | None:
+    """Record what another entry knows; None for any other message."""
+    del peer
+    if not isinstance(message, messages.TargetNotices):
+        return None
+    for notice in message.notices:
+        records.merge(state, now, notice)
+    return []
--- a/src/agateshelf/daemon/dialect.py
+++ b/src/agateshelf/daemon/dialect.py
@@ -11,7 +11,8 @@
 from agateshelf.core import events
 
 ParseLoad = abc.Callable[[bytes], events.TargetLoad | None]
-ParseLimit = abc.Callable[[bytes], float | None]
+ParseNumber = abc.Callable[[bytes], float | None]
+ParseFlag = abc.Callable[[bytes], bool | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +31,12 @@
         limit: Requests a second that the target that responds takes from all
             entries together.
         parse_limit: Parses the value of `limit`; returns None if it is invalid.
+        leaving: Whether the target that responds is leaving.
+        parse_leaving: Parses the value of `leaving`; returns None if it is
+            invalid.
+        pause: Seconds for which a target that turns a request away wants no
+            others.
+        parse_pause: Parses the value of `pause`; returns None if it is invalid.
         adds_proxy_headers: Whether `Via` and `Forwarded` are added.
         allows_close_delimited: Whether the end of the connection may mark the
             end of a response (RFC 9112, section 6.3).
@@ -46,7 +53,11 @@
     load: bytes
     parse_load: ParseLoad
     limit: bytes
-    parse_limit: ParseLimit
+    parse_limit: ParseNumber
+    leaving: bytes
+    parse_leaving: ParseFlag
+    pause: bytes
+    parse_pause: ParseNumber
     adds_proxy_headers: bool
     allows_close_delimited: bool
     fractional_retry_after: bool
@@ -57,7 +68,12 @@
     return None
 
 
-def _no_limit(value: bytes) -> float | None:
+def _no_number(value: bytes) -> float | None:
+    del value
+    return None
+
+
+def _no_flag(value: bytes) -> bool | None:
     del value
     return None
 
@@ -72,7 +88,11 @@
     load=b"",
     parse_load=_no_load,
     limit=b"",
-    parse_limit=_no_limit,
+    parse_limit=_no_number,
+    leaving=b"",
+    parse_leaving=_no_flag,
+    pause=b"",
+    parse_pause=_no_number,
     adds_proxy_headers=True,
     allows_close_delimited=False,
     fractional_retry_after=False,
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -131,6 +131,8 @@
                 await self._start_attempt(effect)
             case effects.CancelAttempt():
                 self.targets.cancel(effect.attempt)
+            case effects.AbortUnsentAttempts():
+                self.targets.abort_unsent(effect.target)
             case effects.CheckTarget():
                 await curio.spawn(
                     checking.check, effect, self.post, daemon=True
--- a/src/agateshelf/daemon/peers/codec.py
+++ b/src/agateshelf/daemon/peers/codec.py
@@ -15,6 +15,7 @@
 from agateshelf.core.membership import messages as membership_messages
 from agateshelf.core.peers import models
 from agateshelf.core.poison import messages as poison_messages
+from agateshelf.core.target_notices import messages as notice_messages
 from agateshelf.daemon.peers import const
 
 _TYPES: tuple[type[models.PeerMessage], ...] = (
@@ -35,6 +36,7 @@
     dispatch_messages.DispatchGranted,
     dispatch_messages.DispatchRefused,
     dispatch_messages.DispatchEnded,
+    notice_messages.TargetNotices,
 )
 
 
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -127,6 +127,12 @@
         if running is not None:
             running.interrupt(attempts.Interruption.CANCELLED)
 
+    def abort_unsent(self, target: str) -> None:
+        """Cancel the attempts of a target of which no byte was sent."""
+        for running in self.running.values():
+            if running.effect.target == target and not running.any_byte_sent:
+                running.interrupt(attempts.Interruption.CANCELLED)
+
     async def run_deadlines(self) -> None:
         """Interrupt attempts whose timeout has passed; never returns."""
         await self.attempt_deadlines.run(self._expire)
--- a/src/agateshelf/daemon/targets/load.py
+++ b/src/agateshelf/daemon/targets/load.py
@@ -1,11 +1,14 @@
-"""Reads the load, limit and state that targets report with their answers."""
+"""Reads what targets report of themselves with their answers."""
 
+from collections import abc
 import re
+from typing import TypeVar
 
 from agateshelf import const
 from agateshelf.core import events
 from agateshelf.core.claims import const as claim_const
 from agateshelf.daemon import dialect as daemon_dialect
+from agateshelf.daemon import messages
 from agateshelf.daemon.targets import answers
 
 _TARGET_LOAD = const.HEADER_TARGET_LOAD.encode()
@@ -15,8 +18,12 @@
 )
 _TARGET_STATE = const.HEADER_TARGET_STATE.encode()
 _STATUS_MISDIRECTED_REQUEST = 421
+_STATUS_UNAVAILABLE = 503
 _EMPTY_TEXT = "(empty)"
 
+InvalidNotices = tuple[tuple[str, str], ...]
+_ValueT = TypeVar("_ValueT", float, bool)
+
 
 def event_of(
     answer: answers.Answer,
@@ -39,38 +46,59 @@
         elif name == _TARGET_STATE:
             draining = value == _DRAINING
         headers.append((name.decode("latin-1"), value.decode("latin-1")))
-    limit, invalid_limit = _limit_of(answer, dialect)
+    limit, invalid_limit = _read_one(
+        answer.headers, "limit", dialect.limit, dialect.parse_limit
+    )
+    leaving, invalid_leaving = _read_one(
+        answer.headers, "leaving", dialect.leaving, dialect.parse_leaving
+    )
+    pause: float | None = None
+    invalid_pause: InvalidNotices = ()
+    if answer.status == _STATUS_UNAVAILABLE:
+        pause, invalid_pause = _read_one(
+            answer.headers, "pause", dialect.pause, dialect.parse_pause
+        )
     return events.AttemptAnswered(
         attempt=answer.attempt,
         status=answer.status,
         headers=tuple(headers),
         streaming=answer.source is not None,
         load=reported,
-        draining=draining,
+        draining=draining or bool(leaving),
         body=_recordable_body(answer),
         not_run=not_run,
         misdirected=not_run and answer.status == _STATUS_MISDIRECTED_REQUEST,
         limit=limit,
-        invalid_limit=invalid_limit,
+        pause=pause or 0.0,
+        invalid_notices=(*invalid_limit, *invalid_leaving, *invalid_pause),
+    )
+
+
+def is_leaving(
+    headers: messages.Headers, dialect: daemon_dialect.Dialect
+) -> bool:
+    """Return whether the target that sent these headers is leaving."""
+    leaving, _ = _read_one(
+        headers, "leaving", dialect.leaving, dialect.parse_leaving
     )
+    return bool(leaving)
 
 
-def _limit_of(
-    answer: answers.Answer, dialect: daemon_dialect.Dialect
-) -> tuple[float | None, str]:
-    """Return the limit that an answer names, and its text if it is invalid."""
-    values = [
-        value
-        for name, value in answer.headers
-        if dialect.limit and name == dialect.limit
-    ]
+def _read_one(
+    headers: messages.Headers,
+    kind: str,
+    name: bytes,
+    parse: abc.Callable[[bytes], _ValueT | None],
+) -> tuple[_ValueT | None, InvalidNotices]:
+    """Return the value of a header; if it is invalid, its kind and text."""
+    values = [value for key, value in headers if name and key == name]
     if not values:
-        return None, ""
-    limit = dialect.parse_limit(values[0]) if len(values) == 1 else None
-    if limit is None:
+        return None, ()
+    value = parse(values[0]) if len(values) == 1 else None
+    if value is None:
         text = b", ".join(values).decode("latin-1")
-        return None, text or _EMPTY_TEXT
-    return limit, ""
+        return None, ((kind, text or _EMPTY_TEXT),)
+    return value, ()
 
 
 def _recordable_body(answer: answers.Answer) -> bytes | None:
--- a/src/agateshelf/daemon/targets/probing.py
+++ b/src/agateshelf/daemon/targets/probing.py
@@ -13,6 +13,7 @@
 from agateshelf.daemon import messages
 from agateshelf.daemon import posting
 from agateshelf.daemon.targets import connection
+from agateshelf.daemon.targets import load
 
 _log = logbook.Logger("probes")
 
@@ -45,17 +46,17 @@
     async def _probe(
         self, effect: effects.ProbeTarget, post: posting.Post
     ) -> None:
-        load: events.TargetLoad | None = None
+        probed = events.TargetProbed(effect.service, effect.target, None)
         try:
             async with curio.timeout_after(effect.timeout):
-                load = await self._send_probe(effect)
+                probed = await self._send_probe(effect)
         except (OSError, h11.ProtocolError, curio.TaskTimeout) as exc:
             _log.debug("Probe of target {} failed: {!r}.", effect.target, exc)
-        await post(events.TargetProbed(effect.service, effect.target, load))
+        await post(probed)
 
     async def _send_probe(
         self, effect: effects.ProbeTarget
-    ) -> events.TargetLoad | None:
+    ) -> events.TargetProbed:
         conn = self.idle.pop(effect.target, None)
         if conn is not None and (
             conn.address != effect.address or not conn.is_idle()
@@ -65,7 +66,7 @@
         if conn is None:
             conn = await connection.open_connection(effect.address)
         try:
-            load = await self._exchange(conn, effect)
+            probed = await self._exchange(conn, effect)
         except BaseException:
             await conn.close()
             raise
@@ -74,11 +75,11 @@
             self.idle[effect.target] = conn
         else:
             await conn.close()
-        return load
+        return probed
 
     async def _exchange(
         self, conn: connection.TargetConnection, effect: effects.ProbeTarget
-    ) -> events.TargetLoad | None:
+    ) -> events.TargetProbed:
         head = h11.Request(
             method="GET", target=effect.path, headers=[("host", "p")]
         )
@@ -88,22 +89,28 @@
         answer = await conn.next_event()
         while isinstance(await conn.next_event(), h11.Data):
             pass
+        unanswered = events.TargetProbed(effect.service, effect.target, None)
         if not isinstance(answer, h11.Response):
-            return None
-        return self._read_load(answer, effect.target)
+            return unanswered
+        headers = messages.headers_from_h11(answer.headers)
+        name = messages.header(headers, self.dialect.target)
+        if name is not None and name != effect.target.encode():
+            return unanswered
+        return events.TargetProbed(
+            effect.service,
+            effect.target,
+            self._read_load(answer, headers),
+            leaving=load.is_leaving(headers, self.dialect),
+        )
 
     def _read_load(
-        self, answer: h11.Response, target: str
+        self, answer: h11.Response, headers: messages.Headers
     ) -> events.TargetLoad | None:
-        """Return the reported load, or None if another target answered.
+        """Return the reported load.
 
         A target that reports none counts as idle unless it answers with a
         server error.
         """
-        headers = messages.headers_from_h11(answer.headers)
-        name = messages.header(headers, self.dialect.target)
-        if name is not None and name != target.encode():
-            return None
         value = messages.header(headers, self.dialect.load)
         if value is not None:
             return self.dialect.parse_load(value)
--- a/src/agateshelf/platform/dialect.py
+++ b/src/agateshelf/platform/dialect.py
@@ -1,4 +1,4 @@
-"""Headers of the platform and the formats of its load reports and limits."""
+"""Headers of the platform, and the formats of what targets report in them."""
 
 import re
 
@@ -7,7 +7,8 @@
 from agateshelf.platform import const
 
 _NUMBER = rb" *([0-9]{1,9}(?:\.[0-9]{1,9})?) *"
-_LIMIT = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+_DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+_LEAVING = b"1"
 _LOAD = re.compile(rb",".join([_NUMBER] * 3) + rb"(?:," + _NUMBER + rb")?")
 
 
@@ -32,13 +33,18 @@
     )
 
 
-def parse_limit(value: bytes) -> float | None:
-    """Parse a limit like `1.5` requests a second; None if it is not valid."""
-    if _LIMIT.fullmatch(value) is None:
+def parse_decimal(value: bytes) -> float | None:
+    """Parse a decimal like `1.5`; return None if it is not valid."""
+    if _DECIMAL.fullmatch(value) is None:
         return None
     return float(value)
 
 
+def parse_leaving(value: bytes) -> bool | None:
+    """Parse the sign of a target that is leaving; None if it is not valid."""
+    return True if value == _LEAVING else None
+
+
 DIALECT = dialect.Dialect(
     timeout_ms=b"x-deadline-ms",
     request_id=b"x-request-id",
@@ -49,7 +55,11 @@
     load=b"x-server-load",
     parse_load=parse_load,
     limit=b"server-limit",
-    parse_limit=parse_limit,
+    parse_limit=parse_decimal,
+    leaving=b"server-leaving",
+    parse_leaving=parse_leaving,
+    pause=b"retry-after",
+    parse_pause=parse_decimal,
     adds_proxy_headers=False,
     allows_close_delimited=True,
     fractional_retry_after=True,
--- a/tests/core/target_limits/test_limits_over_entries.py
+++ b/tests/core/target_notices/test_limits_over_entries.py
@@ -7,7 +7,7 @@
 
 import pytest
 from tests.core import routed_fleet
-from tests.core.target_limits import limited_fleet
+from tests.core.target_notices import limited_fleet
 
 from agateshelf.core import events
 from agateshelf.core.dispatch import owners
@@ -190,7 +190,7 @@
     fleet = create_fleet(4, 1.0)
     fleet.load(4.0, 40)
     name, other = list(fleet.nodes)[:2]
-    records = fleet.nodes[other].state.target_limits.records
+    records = fleet.nodes[other].state.target_notices.records
     heard_at = records["t0"].heard_at
     fleet.limits = {}
     fleet.load(8.0, 40)
@@ -228,16 +228,18 @@
     fleet = create_fleet(4, 1.0)
     fleet.load(4.0, 40)
     node = next(iter(fleet.nodes.values()))
-    rate = node.state.target_limits.records["t0"].rate
+    rate = node.state.target_notices.records["t0"].rate
 
     def answer_invalid(node, target, end):
         del target
-        invalid = events.AttemptAnswered(end.attempt, 200, invalid_limit="abc")
+        invalid = events.AttemptAnswered(
+            end.attempt, 200, invalid_notices=(("limit", "abc"),)
+        )
         fleet.post(node, invalid)
 
     fleet._answer = answer_invalid
     fleet.load(2.0, 40)
-    assert node.state.target_limits.records["t0"].rate == rate
+    assert node.state.target_notices.records["t0"].rate == rate
     for each in fleet.nodes.values():
         logged = [e for _, e in each.notes if e.event == "limit.invalid"]
         assert len(logged) <= 3 * 4
