Soak: targets that leave and that ask for a pause

Both are drawn as faults and checked from callers' answers and the targets' ledger: an entry that has passed on that a target leaves sends it nothing later than 2 s after, others nothing later than 5 s; at most two requests from an entry within a pause. A sabotage each (leaving-targets, pauses). The stand-in target says both.

--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -188,12 +188,34 @@
         "named",
         (
             Edit(
-                f"{_CORE}/target_limits/pacing.py",
+                f"{_CORE}/target_notices/pacing.py",
                 "return pace.tokens >= 1.0",
                 "return True",
             ),
         ),
     ),
+    Mutation(
+        "leaving-targets",
+        "late sends to leaving",
+        (
+            Edit(
+                "agateshelf/platform/dialect.py",
+                "return True if value == _LEAVING else None",
+                "return False if value == _LEAVING else None",
+            ),
+        ),
+    ),
+    Mutation(
+        "pauses",
+        "asked for a pause",
+        (
+            Edit(
+                "agateshelf/platform/dialect.py",
+                'pause=b"retry-after"',
+                'pause=b""',
+            ),
+        ),
+    ),
     Mutation(
         "recovery",
         "after the last fault",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -211,6 +211,7 @@
     call.has_retry_after = b"retry-after" in headers
     if b"x-response-signature" in headers:
         call.answered_by = headers.get(b"x-instance-id", b"").decode()
+        call.said_leaving = b"server-leaving" in headers
     if call.status == 200:
         call.verified = _is_valid_response(call, headers, body)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -244,6 +244,38 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SayLeaving:
+    """Makes targets say that they are leaving, while they stay registered.
+
+    Attributes:
+        parity: Remainder of the numbers of the service's targets, divided by 2.
+        count: Number of its targets that do.
+        seconds: How long they do.
+    """
+
+    parity: int
+    count: int
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskPause:
+    """Makes targets turn all requests away, and ask for a pause each time.
+
+    Attributes:
+        parity: Remainder of the numbers of the service's targets, divided by 2.
+        count: Number of its targets that do.
+        pause: Seconds that they ask for.
+        seconds: How long they do.
+    """
+
+    parity: int
+    count: int
+    pause: float
+    seconds: float
+
+
 Fault = (
     StopEntry
     | KillEntry
@@ -263,6 +295,8 @@
     | CrashingRequest
     | ShedService
     | NameLimits
+    | SayLeaving
+    | AskPause
 )
 
 
@@ -305,6 +339,10 @@
 CRASHING_SHARE = 0.6
 SHED_SHARE = 0.4
 LIMITS_SHARE = 0.5
+# Shares of plans with targets that say they are leaving, and that ask for a
+# pause.
+LEAVING_SHARE = 0.4
+PAUSE_SHARE = 0.4
 # Share of plans in which the store comes back from an older copy.
 RESTORE_SHARE = 0.3
 _PLANNED_OPERATIONS = (StopEntry, HangUp, DrainTarget, NewTable, Burst)
@@ -326,6 +364,7 @@
         *faults,
         *_draw_load(seed, seconds),
         *_draw_limits(seed, targets, seconds),
+        *_draw_notices(seed, targets, seconds),
         *_draw_restore(seed, seconds),
     )
     ordered = sorted(faults, key=lambda timed: timed[0])
@@ -368,6 +407,25 @@
     return [(at, limits)]
 
 
+def _draw_notices(
+    seed: int, targets: int, seconds: float
+) -> list[tuple[float, Fault]]:
+    """Draw targets that leave or pause, with a generator of its own as well."""
+    rng = random.Random(f"{seed}/notices")
+    drawn: list[tuple[float, Fault]] = []
+    if rng.random() < LEAVING_SHARE:
+        at = rng.uniform(0.0, seconds / 3)
+        count = rng.randint(1, max(1, targets // 2 - 1))
+        drawn.append((at, SayLeaving(rng.randrange(2), count, seconds - at)))
+    if rng.random() < PAUSE_SHARE:
+        at = rng.uniform(0.0, seconds / 3)
+        pause = rng.choice((0.7, 1.5, 3.0))
+        count = rng.randint(1, targets // 2)
+        length = rng.uniform(2.0, seconds / 2)
+        drawn.append((at, AskPause(rng.randrange(2), count, pause, length)))
+    return drawn
+
+
 def _draw_restore(seed: int, seconds: float) -> list[tuple[float, Fault]]:
     rng = random.Random(f"{seed}/restore")
     if rng.random() >= RESTORE_SHARE:
--- a/soak/history.py
+++ b/soak/history.py
@@ -28,6 +28,7 @@
             response.
         has_retry_after: Whether the response has a `Retry-After` header.
         answered_by: Target that produced the response; empty for none.
+        said_leaving: Whether that target said that it is leaving.
     """
 
     id: str
@@ -43,6 +44,7 @@
     disconnected: bool = False
     has_retry_after: bool = False
     answered_by: str = ""
+    said_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -106,6 +106,11 @@
             await _shed_service(cluster, fault)
         case faults.NameLimits():
             await _name_limits(cluster, fault)
+        case faults.SayLeaving():
+            await _hold_options(cluster, fault, "leaving", True, False)
+        case faults.AskPause():
+            pause = str(fault.pause)
+            await _hold_options(cluster, fault, "pause", pause, "")
         case faults.Burst():
             cluster.rate_factor *= 4.0
             await curio.sleep(fault.seconds)
@@ -279,19 +284,7 @@
 async def _shed_service(
     cluster: cluster_lib.Cluster, fault: faults.ShedService
 ) -> None:
-    async with curio.TaskGroup() as group:
-        for target in cluster.targets[fault.parity :: 2]:
-            change = faults.ChangeTarget(
-                target.number, fault.seconds, "reject_all", True, False
-            )
-            await group.spawn(
-                _change_option,
-                cluster,
-                "target",
-                target.number,
-                target.process,
-                change,
-            )
+    await _hold_options(cluster, fault, "reject_all", True, False)
 
 
 async def _name_limits(
@@ -322,6 +315,36 @@
         await _try_option(process, "named_limit", "")
 
 
+def _count_of(
+    fault: faults.ShedService | faults.SayLeaving | faults.AskPause,
+) -> int | None:
+    """Return how many targets of its service a fault concerns; None for all."""
+    return None if isinstance(fault, faults.ShedService) else fault.count
+
+
+async def _hold_options(
+    cluster: cluster_lib.Cluster,
+    fault: faults.ShedService | faults.SayLeaving | faults.AskPause,
+    option: str,
+    value: Any,
+    usual: Any,
+) -> None:
+    """Change an option of some targets of a service for a while."""
+    async with curio.TaskGroup() as group:
+        for target in cluster.targets[fault.parity :: 2][: _count_of(fault)]:
+            change = faults.ChangeTarget(
+                target.number, fault.seconds, option, value, usual
+            )
+            await group.spawn(
+                _change_option,
+                cluster,
+                "target",
+                target.number,
+                target.process,
+                change,
+            )
+
+
 async def _change_option(
     cluster: cluster_lib.Cluster,
     kind: str,
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -50,6 +50,13 @@
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
 LIMIT_TOLD_SECONDS = 0.5
+# From PAUSE_TOLD_SECONDS after a target asked an entry for a pause until its
+# end, the entry sends it at most MAX_SENDS_IN_PAUSE requests.
+PAUSE_TOLD_SECONDS = 0.5
+MAX_SENDS_IN_PAUSE = 2
+# Time within which an entry that hasn't passed on that a target is leaving
+# knows it from the others.
+LEAVING_KNOWN_SECONDS = 5.0
 # Share of requests that are served after the recovery.
 MIN_SERVED_SHARE = 0.9
 
@@ -76,6 +83,8 @@
         _excess_retries,
         _late_crashing_sends,
         _sends_over_limits,
+        _sends_to_leaving,
+        _sends_in_pauses,
         _missing_recovery,
         _missing_retry_after,
     )
@@ -439,6 +448,82 @@
     return not _is_fault_active(history, begin, at, kinds=own, index=call.entry)
 
 
+def _arrivals(
+    history: history_lib.History,
+) -> list[tuple[str, float, history_lib.Call]]:
+    """Return target, time and call of each arrival of a caller's request."""
+    call_of = {call.id: call for call in history.calls}
+    return [
+        (line["by"], line["at"], call_of[line["id"]])
+        for line in history.ledger
+        if line["kind"] == "arrived" and line["id"] in call_of
+    ]
+
+
+def _sends_to_leaving(history: history_lib.History) -> list[str]:
+    """Find sends to targets that had said that they are leaving.
+
+    An entry that has passed that on is excused by nothing but a pause. Others
+    are excused as long as they are not connected.
+    """
+    told: dict[tuple[str, int], float] = {}
+    told_any: dict[str, float] = {}
+    for call in history.calls:
+        if not call.said_leaving or call.ended_at is None:
+            continue
+        key = (call.answered_by, call.process_id)
+        told[key] = min(told.get(key, call.ended_at), call.ended_at)
+        first = told_any.get(call.answered_by, call.ended_at)
+        told_any[call.answered_by] = min(first, call.ended_at)
+    late = collections.Counter[str]()
+    for target, at, call in _arrivals(history):
+        since = told.get((target, call.process_id))
+        if since is not None and call.sent_at > since + DRAIN_SECONDS:
+            if not _is_fault_active(
+                history, since, at, kinds=("entry",), index=call.entry
+            ):
+                late[f"{target} from entry {call.entry}"] += 1
+            continue
+        first = told_any.get(target, at)
+        if call.sent_at > first + LEAVING_KNOWN_SECONDS and _is_connected(
+            history, call.entry, first - SETTLING_SECONDS, at
+        ):
+            late[f"{target} from entry {call.entry}, untold"] += 1
+    return [f"{n} late sends to leaving {key}" for key, n in late.items()]
+
+
+def _sends_in_pauses(history: history_lib.History) -> list[str]:
+    """Find entries that send too much to a target within a pause."""
+    call_of = {call.id: call for call in history.calls}
+    arrivals = _arrivals(history)
+    violations = []
+    for line in history.ledger:
+        asked = call_of.get(line.get("id", ""))
+        if line["kind"] != "paused" or asked is None:
+            continue
+        begin = line["at"] + PAUSE_TOLD_SECONDS
+        end = line["at"] + float(line["seconds"])
+        count = sum(
+            target == line["by"]
+            and begin <= at <= end
+            and call.process_id == asked.process_id
+            for target, at, call in arrivals
+        )
+        if count <= MAX_SENDS_IN_PAUSE or _is_fault_active(
+            history,
+            line["at"] - SETTLING_SECONDS,
+            end,
+            kinds=("entry", "stop", "link"),
+            index=asked.entry,
+        ):
+            continue
+        violations.append(
+            f"{line['by']} asked for a pause and got {count} requests in it "
+            f"from entry {asked.entry}"
+        )
+    return violations
+
+
 def _missing_recovery(history: history_lib.History) -> list[str]:
     """Check the share of requests served once the last fault is over.
 
--- a/src/agateshelf_standins/member.py
+++ b/src/agateshelf_standins/member.py
@@ -168,6 +168,8 @@
         self._append_to_ledger(kind="arrived", id=request_id)
         if self.options.reject_all:
             return self._not_run_response(503, request)
+        if self.options.pause:
+            return self._pause_response(request)
         rejection = await self._acquire_slot(request, seconds)
         if rejection is not None:
             if rejection.lost:
@@ -193,6 +195,14 @@
         seconds = self.options.service_ms * self.options.slow_factor / 1000
         await curio.sleep(seconds)
 
+    def _pause_response(self, request: http.Request) -> http.Response:
+        pause = self.options.pause
+        request_id = request.headers["x-request-id"]
+        self._append_to_ledger(kind="paused", id=request_id, seconds=pause)
+        response = self._not_run_response(503, request)
+        headers = {**response.headers, "Retry-After": pause}
+        return dataclasses.replace(response, headers=headers)
+
     def _response_headers(self, request: http.Request) -> dict[str, str]:
         load = self._current_load()
         slowness = round(
@@ -209,6 +219,8 @@
             "X-Instance-Id": self.config.name,
             "X-Server-Load": ",".join(map(str, figures)),
         }
+        if self.options.leaving:
+            headers["Server-Leaving"] = "1"
         if "x-request-id" in request.headers:
             headers["X-Request-Id"] = request.headers["x-request-id"]
             if self.options.named_limit:
--- a/src/agateshelf_standins/target.py
+++ b/src/agateshelf_standins/target.py
@@ -46,6 +46,9 @@
             process; empty for none.
         named_limit: Value of the `Server-Limit` header of a member's responses;
             empty for no header.
+        leaving: Whether a member's responses carry `Server-Leaving: 1`.
+        pause: Value of the `Retry-After` header with which a member turns every
+            request away; empty to serve them.
         refusal_mark: Header, as `Name: value`, of the response to a request
             that did not run; empty for none.
     """
@@ -63,6 +66,8 @@
     silent: bool = False
     crash_mark: str = ""
     named_limit: str = ""
+    leaving: bool = False
+    pause: str = ""
     refusal_mark: str = ""
 
 
--- /dev/null
+++ b/tests/soak/test_target_notices.py
@@ -0,0 +1,42 @@
+"""Real processes: targets that leave or ask for a pause.
+
+Guards against entries that go by the store alone: it may say for long that a
+target is ready that has told its callers otherwise.
+"""
+
+import pytest
+
+from soak import faults
+from soak import invariants
+from soak import main
+
+SECONDS = 9.0
+COMINGS_AND_GOINGS = (
+    (3.0, faults.KillEntry(1, 0.3)),
+    (4.5, faults.StopEntry(3, 0.3)),
+    (6.0, faults.KillEntry(0, 0.3)),
+)
+
+
+def run(directory, *timed):
+    ordered = tuple(sorted(timed, key=lambda pair: pair[0]))
+    plan = faults.Plan(0, 4, 8, SECONDS, ordered)
+    history = main.run_plan(plan, directory, main.ROOT / "src")
+    return history, invariants.find_violations(history)
+
+
+@pytest.mark.parametrize("others", [(), COMINGS_AND_GOINGS])
+def test_leaving_targets_get_no_requests(others, tmp_path):
+    leaving = (0.5, faults.SayLeaving(0, 2, SECONDS))
+    history, violations = run(tmp_path, leaving, *others)
+    assert any(call.said_leaving for call in history.calls)
+    assert violations == []
+
+
+@pytest.mark.parametrize("count", [1, 4])
+@pytest.mark.parametrize("others", [(), COMINGS_AND_GOINGS])
+def test_a_pause_is_kept(count, others, tmp_path):
+    pause = (0.5, faults.AskPause(0, count, 3.0, 6.0))
+    history, violations = run(tmp_path, pause, *others)
+    assert any(line["kind"] == "paused" for line in history.ledger)
+    assert violations == []
