Give the processor back while a peer sends without end

Cause: loops over received bytes never wait while bytes are there, so that no other task runs and no timeout is delivered. Found of the same class: bodies in small chunks, trailers, callers' chunked bodies and pipelined requests, the discarded bytes after a rejected request, a flood of connections or of ZAP handshakes. An answer that streams had no deadline, an attempt that was interrupted still read what had arrived, and an idle connection on which a target kept sending stayed in the pool.

--- a/src/agateshelf/daemon/callers/reading.py
+++ b/src/agateshelf/daemon/callers/reading.py
@@ -6,6 +6,7 @@
 import curio
 import h11
 
+from agateshelf.daemon import fairness
 from agateshelf.daemon import messages
 from agateshelf.daemon.callers import checks
 from agateshelf.daemon.callers import const
@@ -15,6 +16,9 @@
 BadRequestError = checks.BadRequestError
 
 _HEAD_END = b"\r\n\r\n"
+# What a receive and a request cost, in steps of a turn.
+_RECEIVE_WEIGHT = 4
+_REQUEST_WEIGHT = 8
 
 
 class Phase(enum.Enum):
@@ -47,6 +51,7 @@
         disconnected: Whether the caller closed its side.
         read_shut: Whether this side shut down reading.
         is_new: Whether no byte of a request has arrived on it yet.
+        turn: Lets other tasks run while a fast caller sends.
         scheme: `http`, or `https` on an encrypted connection.
     """
 
@@ -65,6 +70,7 @@
     disconnected: bool = False
     read_shut: bool = False
     is_new: bool = True
+    turn: fairness.Turn = dataclasses.field(default_factory=fairness.Turn)
     scheme: bytes = b"http"
 
     def enter(self, phase: Phase) -> None:
@@ -82,6 +88,7 @@
         """
         data = await self.sock.recv(const.READ_BYTES)
         self.buffer += data
+        await self.turn.step(_RECEIVE_WEIGHT)
         return bool(data)
 
     def reserve(self, size: int) -> None:
@@ -176,6 +183,7 @@
 async def _read_head(conn: CallerConnection) -> bytes | None:
     """Return the raw head of the next request, None at a clean close."""
     conn.reclaim_trailing_data()
+    await conn.turn.step(_REQUEST_WEIGHT)
     buffer = conn.buffer
     limit = conn.limits.header_bytes
     searched = 0
@@ -237,6 +245,7 @@
     size = 0
     tail = b""
     while True:
+        await conn.turn.step()
         event = conn.protocol.next_event()
         if event is h11.NEED_DATA:
             data = await _next_bytes(conn, const.READ_BYTES)
--- a/src/agateshelf/daemon/callers/writing.py
+++ b/src/agateshelf/daemon/callers/writing.py
@@ -8,6 +8,7 @@
 import h11
 
 from agateshelf.daemon import certificates
+from agateshelf.daemon import clock
 from agateshelf.daemon import messages
 from agateshelf.daemon.callers import const
 from agateshelf.daemon.callers import problems
@@ -69,7 +70,8 @@
 
     Raises:
         h11.RemoteProtocolError: The target's answer is incomplete.
-        curio.TaskTimeout: The target sent nothing within the idle timeout.
+        curio.TaskTimeout: The target sent nothing within the idle timeout, or
+            not all of the answer within the call's timeout.
         OSError: Either connection is broken.
     """
     source = answer.source
@@ -89,7 +91,10 @@
     await _send(conn, conn.protocol.send(h11.Data(data=answer.body)))
     while True:
         conn.enter(reading.Phase.WAITING)
-        async with curio.timeout_after(conn.limits.idle_seconds):
+        left = answer.expires_at - clock.now()
+        if left <= 0:
+            raise curio.TaskTimeout("the call's timeout passed")
+        async with curio.timeout_after(min(conn.limits.idle_seconds, left)):
             event = await source.next_event()
         conn.enter(reading.Phase.WRITING)
         if not isinstance(event, h11.Data):
@@ -120,4 +125,5 @@
         certificates.shutdown(conn.sock, socket.SHUT_WR)
         async with curio.ignore_after(const.LINGER_SECONDS):
             while await conn.sock.recv(const.READ_BYTES):
-                pass
+                # Lets the timeout end the loop while a fast caller sends.
+                await curio.sleep(0)
--- a/src/agateshelf/daemon/fetching.py
+++ b/src/agateshelf/daemon/fetching.py
@@ -97,9 +97,7 @@
 
 
 async def _read(conn: connection.TargetConnection) -> Response:
-    head = await conn.next_event()
-    if not isinstance(head, h11.Response):
-        raise h11.RemoteProtocolError("no response")
+    head = await conn.read_head()
     parts: list[bytes] = []
     size = 0
     while True:
--- a/src/agateshelf/daemon/listening.py
+++ b/src/agateshelf/daemon/listening.py
@@ -82,6 +82,8 @@
                 await curio.sleep(_ACCEPT_RETRY_SECONDS)
                 continue
             await self._spawn(sock, address)
+            # A flood of connections must not keep other tasks from running.
+            await curio.sleep(0)
 
     async def _spawn(
         self, sock: curio.io.Socket, address: tuple[str, int]
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -114,7 +114,7 @@
         ),
         exchanges=exchanges.Exchanges(),
         targets=target_client.TargetClient(
-            connections=pool.Pool(cfg.limits.kept_target_connections),
+            connections=pool.create_pool(cfg.limits.kept_target_connections),
             max_buffered_bytes=cfg.limits.held_answer_bytes,
             via=cfg.entry.encode(),
             budget=budget,
@@ -238,6 +238,7 @@
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(driver.run_timers)
         await group.spawn(driver.targets.run_deadlines)
+        await group.spawn(driver.targets.connections.run)
         await group.spawn(driver.metrics.run)
         if driver.traces is not None:
             await group.spawn(driver.traces.run)
--- a/src/agateshelf/daemon/peers/authentication.py
+++ b/src/agateshelf/daemon/peers/authentication.py
@@ -7,6 +7,7 @@
 from collections import abc
 import dataclasses
 
+import curio
 import zmq
 import zmq.utils.z85
 
@@ -43,6 +44,8 @@
             await readiness.wait_readable(self.sock)
             frames = self.sock.recv_multipart(zmq.NOBLOCK)
             self.sock.send_multipart(self.reply_to(frames), zmq.NOBLOCK)
+            # A flood of handshakes must not keep other tasks from running.
+            await curio.sleep(0)
 
     def reply_to(self, frames: list[bytes]) -> list[bytes]:
         """Return the reply to a ZAP request; count the denied ones."""
--- a/src/agateshelf/daemon/targets/answers.py
+++ b/src/agateshelf/daemon/targets/answers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import http
+import math
 
 from agateshelf import const
 from agateshelf.core.outcomes import models as outcome_models
@@ -22,6 +23,7 @@
             complete.
         attempt: Number of the attempt.
         reserved: Bytes of the body reserved in the memory budget.
+        expires_at: Loop time by which the target must have sent all of it.
     """
 
     status: int
@@ -31,6 +33,7 @@
     source: connection.TargetConnection | None
     attempt: int
     reserved: int = 0
+    expires_at: float = math.inf
 
 
 def replayed(recorded: outcome_models.RecordedAnswer) -> Answer:
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -246,6 +246,7 @@
             source=source,
             attempt=running.effect.attempt,
             reserved=running.reserved,
+            expires_at=running.started_at + running.effect.timeout,
         )
 
     async def _read_matching_head(
@@ -266,7 +267,7 @@
             OSError: The connection is broken.
         """
         for _ in range(_MAX_UNRELATED_ANSWERS):
-            head = await _read_head(conn)
+            head = await conn.read_head()
             if not _is_unrelated(self.dialect, running, head):
                 return head
             while isinstance(await conn.next_event(), h11.Data):
@@ -320,18 +321,6 @@
         return
 
 
-async def _read_head(conn: connection.TargetConnection) -> h11.Response:
-    while True:
-        event = await conn.next_event()
-        if isinstance(event, h11.Response):
-            return event
-        if isinstance(event, h11.InformationalResponse):
-            continue
-        raise ConnectionResetError(
-            "target closed the connection without an answer"
-        )
-
-
 def _is_unrelated(
     dialect: daemon_dialect.Dialect,
     running: attempts.RunningAttempt,
--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -7,6 +7,12 @@
 import curio
 import h11
 
+from agateshelf.daemon import fairness
+
+# Interim responses before an answer; more are taken for a faulty target.
+_MAX_INTERIM_RESPONSES = 32
+# A receive brings up to a buffer of bytes, each of which may be an event.
+_RECEIVE_WEIGHT = 4
 _READ_BYTES = 65536
 # Interval of TCP keep-alive probes while an answer is awaited, and number of
 # unanswered probes after which the connection is closed.
@@ -17,7 +23,7 @@
 _USER_TIMEOUT_MS = 1000
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class TargetConnection:
     """A connection to a target.
 
@@ -29,6 +35,8 @@
             connection.
         request_sent: Whether all bytes of the current request were sent.
         head_only: Whether the current request is a HEAD.
+        interrupted: Whether it was shut down by `interrupt`.
+        turn: Lets other tasks run while a fast target sends.
     """
 
     sock: curio.io.Socket
@@ -37,6 +45,8 @@
     last_answer_at: float | None = None
     request_sent: bool = True
     head_only: bool = False
+    interrupted: bool = False
+    turn: fairness.Turn = dataclasses.field(default_factory=fairness.Turn)
 
     async def connect(self) -> None:
         """Open the connection.
@@ -67,11 +77,34 @@
             OSError: The connection is broken.
         """
         while True:
+            await self.turn.step()
+            # What had arrived before can be much, and is no longer wanted.
+            if self.interrupted:
+                raise ConnectionAbortedError("connection was interrupted")
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
             data = await self.sock.recv(_READ_BYTES)
             self.protocol.receive_data(data)
+            await self.turn.step(_RECEIVE_WEIGHT)
+
+    async def read_head(self) -> h11.Response:
+        """Return the head of the answer, after any interim responses.
+
+        Raises:
+            h11.RemoteProtocolError: The answer is malformed, or too many
+                interim responses come before it.
+            OSError: The connection is broken or was closed.
+        """
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
+            event = await self.next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionResetError(
+                    "target closed the connection without an answer"
+                )
+        raise h11.RemoteProtocolError("too many interim responses")
 
     def expect_next_answer(self) -> None:
         """Prepare to read another answer to the current request.
@@ -119,6 +152,7 @@
 
     def interrupt(self) -> None:
         """Shut the connection down, which wakes the task that uses it."""
+        self.interrupted = True
         with contextlib.suppress(OSError):
             self.sock._socket.shutdown(socket.SHUT_RDWR)  # noqa: SLF001
 
--- a/src/agateshelf/daemon/targets/probing.py
+++ b/src/agateshelf/daemon/targets/probing.py
@@ -86,12 +86,10 @@
         data = conn.protocol.send(head) or b""
         data += conn.protocol.send(h11.EndOfMessage()) or b""
         await conn.send(data)
-        answer = await conn.next_event()
+        answer = await conn.read_head()
         while isinstance(await conn.next_event(), h11.Data):
             pass
         unanswered = events.TargetProbed(effect.service, effect.target, None)
-        if not isinstance(answer, h11.Response):
-            return unanswered
         headers = messages.headers_from_h11(answer.headers)
         name = messages.header(headers, self.dialect.target)
         if name is not None and name != effect.target.encode():
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -230,6 +230,7 @@
     caller_server = server.create_server(driver, cfg, budget)
     await curio.spawn(driver.run_timers, daemon=True)
     await curio.spawn(driver.targets.run_deadlines, daemon=True)
+    await curio.spawn(driver.targets.connections.run, daemon=True)
     await curio.spawn(caller_server.watcher.run, daemon=True)
     policy = create_service(target.address, **service)
     configuration = models.Configuration(1, {policy.name: policy})
--- a/tests/daemon/test_routes.py
+++ b/tests/daemon/test_routes.py
@@ -43,6 +43,7 @@
     driver.adopt_limits = caller_server.adopt_limits
     await curio.spawn(driver.run_timers, daemon=True)
     await curio.spawn(driver.targets.run_deadlines, daemon=True)
+    await curio.spawn(driver.targets.connections.run, daemon=True)
     await curio.spawn(caller_server.watcher.run, daemon=True)
     await driver.post(events.Started(1, has_store=False, has_feed=True))
     targets, items = [], []
