Sample a service's targets only once the owner's role has settled

At the start of all entries each first sees itself as the only one, so as the owner of every service, and had all targets probed.

Change: an owner, or an entry that dispatches by itself, has targets sampled only when its role has lasted for 2 s or another entry asks it.

--- a/src/agateshelf/core/dispatch/sampler_assignment.py
+++ b/src/agateshelf/core/dispatch/sampler_assignment.py
@@ -4,8 +4,15 @@
 has not reported for `const.SAMPLER_TIMEOUT_SECONDS` is excluded for a while and
 replaced by another entry of the failure domain. If none is left, the
 dispatcher's own entry samples. See `sampling` for what a sampler does.
+
+Also answers the load of a fleet that starts at once: each entry first sees
+itself as the only one and so as the owner of all services. It would have all
+targets probed, as many times as there are entries. So a role that nobody else
+relies on must have lasted for a while first.
 """
 
+import math
+
 from agateshelf.core import effects
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
@@ -24,6 +31,7 @@
     if dispatcher.sampled:
         return []
     dispatcher.sampled = True
+    dispatcher.role_since = math.inf
     return on_due(state, now, models.SamplerCheckDue(dispatcher.service))
 
 
@@ -38,6 +46,8 @@
         dispatcher.sampled = False
         return _cancel_all(state, dispatcher)
     timers.schedule(state.timers, now + const.SAMPLER_CHECK_SECONDS, event)
+    if not _has_settled(state, now, dispatcher):
+        return []
     domains = {
         t.registration.failure_domain for t in dispatcher.targets.values()
     }
@@ -55,6 +65,19 @@
     return now - dispatcher.last_request_at > const.IDLE_AFTER_SECONDS
 
 
+def _has_settled(
+    state: core_state.State, now: float, dispatcher: models.Dispatcher
+) -> bool:
+    """Return whether this entry's role for a service is likely to last."""
+    is_owner = owners.is_owner(state, dispatcher.service)
+    if is_owner != dispatcher.is_owner or math.isinf(dispatcher.role_since):
+        dispatcher.is_owner = is_owner
+        dispatcher.role_since = now
+    if now - dispatcher.last_peer_request_at <= const.IDLE_AFTER_SECONDS:
+        return True
+    return now - dispatcher.role_since >= const.ROLE_SETTLED_SECONDS
+
+
 def _cancel_all(
     state: core_state.State, dispatcher: models.Dispatcher
 ) -> Effects:
