Decide on what changed, not on everything, at each message of an owner

Ruled out: several owners a service (groups): not needed once a request costs a fifth of it; left for services beyond some hundred targets.

Change: a quick decision looks at the arrived request and the free slots, or at the slot that became free and the most urgent requests; a full one comes every 20 ms while requests wait and after changes of what is usable. Some free targets are compared for a request, half of them in its own domain. Grants that ended unnoticed are looked for four times a second.

--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -225,12 +225,15 @@
     ) -> None:
         kind = self.request_kinds[_primary_key(request.key)]
         tally = self.tallies[kind.name]
-        for key in (request.key, hedging.hedge_key(request.key)):
+        freed = [
             self._release(key)
+            for key in (request.key, hedging.hedge_key(request.key))
+        ]
         target = self.dispatcher.targets[name]
         estimates.record_speed(target, now, self.simulated_targets[name].speed)
         if not served:
             tally.failed += 1
+            self._decide_on_freed(now, freed)
             return
         estimates.record_run(self.dispatcher, request, now - request.granted_at)
         target_health.record_ending(target, now, models.Ending.ANSWERED)
@@ -240,14 +243,24 @@
         else:
             tally.late += 1
             tally.value += 0.1 * kind.value
+        self._decide_on_freed(now, freed)
 
-    def _release(self, key: models.RequestKey) -> None:
+    def _release(self, key: models.RequestKey) -> models.TargetState | None:
+        """Release a grant, if there is one; return its target."""
         request = self.dispatcher.granted.get(key)
-        if request is not None:
-            self.simulated_targets[request.target or ""].remaining_work.pop(
-                key, None
-            )
-            scheduling.release(self.dispatcher, request)
+        if request is None:
+            return None
+        name = request.target or ""
+        self.simulated_targets[name].remaining_work.pop(key, None)
+        scheduling.release(self.dispatcher, request)
+        return self.dispatcher.targets[name]
+
+    def _decide_on_freed(
+        self, now: float, freed: list[models.TargetState | None]
+    ) -> None:
+        for target in freed:
+            if target is not None:
+                self._decide(now, scheduling.Freed(target))
 
     def add_request(self, now: float, kind: RequestKind) -> None:
         """Queue a new request of a route at the dispatcher."""
@@ -267,7 +280,7 @@
         work = self.dispatcher.work_estimates.setdefault(
             kind.name, initial_work
         )
-        self.dispatcher.waiting[key] = models.Request(
+        request = models.Request(
             key=key,
             route=kind.name,
             priority=kind.priority,
@@ -280,6 +293,8 @@
             tried=frozenset(),
             failure_domain="a",
         )
+        self.dispatcher.waiting[key] = request
+        self._decide(now, scheduling.Arrived(request))
 
     def _probe(self, now: float) -> None:
         self.has_new_reports = True
@@ -290,8 +305,14 @@
                 target, now, len(simulated.remaining_work), simulated.speed
             )
 
-    def _decide(self, now: float) -> None:
-        decisions = scheduling.decide(self.dispatcher, now, self.rng)
+    def _decide(
+        self, now: float, cause: scheduling.Cause | None = None
+    ) -> None:
+        """Decide as an owner does: on each change, and at intervals."""
+        dispatcher = self.dispatcher
+        decisions: list[scheduling.Decision] = []
+        if cause is not None or now >= dispatcher.next_full_at:
+            decisions = scheduling.decide(dispatcher, now, self.rng, cause)
         if self.has_new_reports:
             self.has_new_reports = False
             granted = list(self.dispatcher.granted.values())
--- a/bench/main.py
+++ b/bench/main.py
@@ -9,6 +9,7 @@
 from bench import chain
 from bench import decisions
 from bench import overload
+from bench import owning
 from bench import replication
 from bench import report
 from bench import routing
@@ -19,6 +20,7 @@
     replication,
     routing,
     overload,
+    owning,
     chain,
 )
 
--- a/src/agateshelf/core/dispatch/const.py
+++ b/src/agateshelf/core/dispatch/const.py
@@ -71,6 +71,11 @@
 # Consecutive unanswered probes after which a target is unavailable.
 MAX_UNANSWERED_PROBES: Final = 2
 
+# Time for which an entry that nobody else asks must have been the owner, or not
+# the owner, of a service before it has targets sampled: an entry that has just
+# started sees itself as the owner of all services.
+ROLE_SETTLED_SECONDS: Final = 2.0
+
 # The weight of an entry as owner or sampler is its capacity raised to this
 # power. A large exponent places owners on the largest entries: the busiest
 # owner needs many times the resources that an entry needs for its own callers.
@@ -85,6 +90,18 @@
 MAX_OWNERS_TRIED: Final = 2
 GRANT_MARGIN_SECONDS: Final = 0.5
 
+# Interval of full decisions while requests wait. Estimates change with time
+# even if no message arrives.
+FULL_DECISION_SECONDS: Final = 0.02
+# Waiting requests in a row that don't suit a free slot after which a quick
+# decision ends; a full one tries them all.
+MAX_UNSUITABLE: Final = 48
+# Free targets that are compared for a request: so many of the failure domain of
+# the requesting entry, and so many of all.
+SHORTLIST_HALF: Final = 12
+# Interval of the look for grants whose end was not reported.
+RELEASE_CHECK_SECONDS: Final = 0.25
+
 # Lower bound of a run's estimated remaining work, as a share of its total work.
 MIN_WORK_LEFT: Final = 0.15
 # Part of the retry slack that hedges may use. The rest is reserved for retries
--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -56,6 +56,7 @@
         target = models.TargetState(registration)
         dispatcher.targets[registration.id] = target
         dispatcher.notices_seen = -1
+    scheduling.require_full_decision(dispatcher)
     if registration.warmup > 0:
         target.warm_at = now + registration.warmup
 
@@ -82,6 +83,7 @@
                 _update_target(dispatcher, registration, now)
                 affected.add(dispatcher.service)
             elif dispatcher.targets.pop(target, None) is not None:
+                scheduling.require_full_decision(dispatcher)
                 affected.add(dispatcher.service)
     emitted: Effects = []
     for service in sorted(affected):
@@ -161,10 +163,10 @@
                 message.number, models.Refusal.NO_RETRY, 0.0
             )
             return [*emitted, *owners.send(state, peer, refused)]
-        dispatcher.waiting[key] = _create_request(
-            state, now, dispatcher, key, message
-        )
-        emitted.extend(decide(state, now, dispatcher))
+        request = _create_request(state, now, dispatcher, key, message)
+        dispatcher.waiting[key] = request
+        arrived = scheduling.Arrived(request)
+        emitted.extend(decide(state, now, dispatcher, arrived))
     if key in dispatcher.waiting:
         queued = messages.DispatchQueued(message.number)
         emitted.extend(owners.send(state, peer, queued))
@@ -274,8 +276,9 @@
 ) -> Effects:
     target = dispatcher.targets.get(request.target or "")
     scheduling.release(dispatcher, request)
+    freed = scheduling.Freed(target)
     if target is None:
-        return decide(state, now, dispatcher)
+        return decide(state, now, dispatcher, freed)
     ending = models.Ending(ended.ending)
     if ended.running is not None:
         estimates.record_speed(target, now, 1.0 / max(ended.slowness, 0.01))
@@ -283,9 +286,11 @@
         target.resuming = False
         estimates.record_run(dispatcher, request, ended.seconds)
     emitted: Effects = []
+    if ending is not models.Ending.ANSWERED:
+        scheduling.require_full_decision(dispatcher)
     if target_health.record_ending(target, now, ending):
         emitted.append(_breaker_log_event(dispatcher, target, ending, now))
-    emitted.extend(decide(state, now, dispatcher))
+    emitted.extend(decide(state, now, dispatcher, freed))
     return emitted
 
 
@@ -326,12 +331,13 @@
             continue
         if load.outstanding is None:
             target.unanswered_probes += 1
+            scheduling.require_full_decision(dispatcher)
             continue
         hedging.update_progress(dispatcher, target, now)
         speed = 1.0 / max(load.slowness, 0.01)
         target_health.record_report(target, now, load.outstanding, speed)
         reported.append(target)
-    emitted.extend(decide(state, now, dispatcher))
+    _schedule_check(state, now, dispatcher)
     emitted.extend(_hedge(state, now, dispatcher, reported))
     return emitted
 
@@ -349,20 +355,36 @@
 
 
 def decide(
-    state: core_state.State, now: float, dispatcher: models.Dispatcher
+    state: core_state.State,
+    now: float,
+    dispatcher: models.Dispatcher,
+    cause: scheduling.Cause | None = None,
 ) -> Effects:
-    """Decide on the waiting requests and notify the requesting entries."""
+    """Decide on the waiting requests and notify the requesting entries.
+
+    Args:
+        state: State of the entry.
+        now: Current time in seconds.
+        dispatcher: The dispatcher of the service.
+        cause: All that has changed since the last decision; None for more.
+    """
     restrictions.update(state, now, dispatcher)
     emitted: Effects = []
-    for decision in scheduling.decide(dispatcher, now, state.rng):
+    for decision in scheduling.decide(dispatcher, now, state.rng, cause):
         emitted.extend(_notify(state, now, dispatcher, decision))
+    _schedule_check(state, now, dispatcher)
+    return emitted
+
+
+def _schedule_check(
+    state: core_state.State, now: float, dispatcher: models.Dispatcher
+) -> None:
     check_at = scheduling.next_check(dispatcher, now)
     if check_at is not None and check_at < dispatcher.next_check_at:
         dispatcher.next_check_at = check_at
         timers.schedule(
             state.timers, check_at, models.DispatcherDue(dispatcher.service)
         )
-    return emitted
 
 
 def _hedge(
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -50,7 +50,7 @@
     NO_RETRY = 3
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Request:
     """A request that waits for a target or was granted one.
 
@@ -78,6 +78,11 @@
             usual speed.
         work_updated_at: Time as of which the work done is estimated.
         is_trial: Whether its run replaces the estimate of work.
+        latest_start: Time by which it must start to be in time on an idle
+            target of usual speed.
+        rank: Its place among the requests that can be in time; the lowest goes
+            first.
+        late_rank: Its place among those that can't.
     """
 
     key: RequestKey
@@ -100,9 +105,22 @@
     work_done: float = 0.0
     work_updated_at: float = 0.0
     is_trial: bool = False
+    latest_start: float = dataclasses.field(init=False)
+    rank: tuple[int, float] = dataclasses.field(init=False)
+    late_rank: tuple[int, float] = dataclasses.field(init=False)
 
+    def __post_init__(self) -> None:
+        self.set_work(self.work)
 
-@dataclasses.dataclass(slots=True)
+    def set_work(self, work: float) -> None:
+        """Set the expected run time, and the urgency that follows from it."""
+        self.work = work
+        self.latest_start = self.soft_deadline - work
+        self.rank = (self.priority, self.latest_start)
+        self.late_rank = (self.priority, self.deadline - work)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
 class TargetState:
     """State of one target at the owner of its service.
 
@@ -258,11 +276,17 @@
         retry_window: Attempts counted for the retry budget.
         last_request_at: Time of the latest request.
         last_peer_request_at: Time of the latest request of another entry.
-        sampled: Whether its targets are being sampled.
+        sampled: Whether its samplers are checked regularly.
+        is_owner: Whether this entry owned the service at the last such check.
+        role_since: Time since which it does, or does not.
         samplers: Assigned sampler of each failure domain.
         excluded_samplers: Times until which entries are not assigned as
             samplers, by entry.
         next_check_at: Time of the earliest scheduled check.
+        next_full_at: Time from which the next decision is a full one.
+        usable: Targets that were usable at the last full decision, and are not
+            on trial.
+        next_release_at: Time of the next look for grants that ended unnoticed.
         next_return_at: Time before which no further refused request is told to
             come back, while targets name limits.
         notices_seen: Number of changes of what targets said that were applied.
@@ -283,6 +307,8 @@
     last_request_at: float = -math.inf
     last_peer_request_at: float = -math.inf
     sampled: bool = False
+    is_owner: bool = False
+    role_since: float = math.inf
     samplers: dict[str, SamplerAssignment] = dataclasses.field(
         default_factory=dict
     )
@@ -290,6 +316,9 @@
         default_factory=dict
     )
     next_check_at: float = math.inf
+    next_full_at: float = -math.inf
+    usable: list[TargetState] = dataclasses.field(default_factory=list)
+    next_release_at: float = -math.inf
     next_return_at: float = -math.inf
     notices_seen: int = 0
     restricted: set[str] = dataclasses.field(default_factory=set)
--- a/src/agateshelf/core/dispatch/restrictions.py
+++ b/src/agateshelf/core/dispatch/restrictions.py
@@ -2,6 +2,7 @@
 
 from agateshelf.core import state as core_state
 from agateshelf.core.dispatch import models
+from agateshelf.core.dispatch import scheduling
 from agateshelf.core.target_notices import const
 from agateshelf.core.target_notices import models as notice_models
 from agateshelf.core.target_notices import pacing
@@ -19,6 +20,7 @@
     if dispatcher.notices_seen != state.target_notices.changes:
         dispatcher.notices_seen = state.target_notices.changes
         _mark(state, dispatcher)
+        scheduling.require_full_decision(dispatcher)
     if dispatcher.paced:
         _set_paces(state, now, dispatcher)
 
--- a/src/agateshelf/core/dispatch/scheduling.py
+++ b/src/agateshelf/core/dispatch/scheduling.py
@@ -10,11 +10,19 @@
 which they must start. Late requests use the remaining slots. A request that
 can't be served before its caller gives up is refused at once; while targets
 name limits, that follows from the times at which these leave room again.
+
+The owner of a large service decides thousands of times a second, and most often
+while many requests wait that no free slot suits. So most decisions are quick
+ones, which look only at what changed: a request that arrived, or a slot that
+became free. Full ones, on every waiting request, come at regular intervals and
+after changes that concern more.
 """
 
 from collections import abc
 import dataclasses
 import heapq
+import math
+import operator
 import random
 
 from agateshelf.core.dispatch import const
@@ -64,8 +72,11 @@
 
 Decision = Grant | Refuse
 
+_RANK = operator.attrgetter("rank")
+_LATE_RANK = operator.attrgetter("late_rank")
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@dataclasses.dataclass(slots=True)
 class Candidate:
     """A target that could serve a request.
 
@@ -91,29 +102,44 @@
 
     Attributes:
         targets: Targets with a free slot.
+        by_domain: The same by failure domain.
         total: Number of slots of all usable targets.
         count: Number of free slots.
+        misfits: Requests that suit none of these targets, the one with the most
+            time left of each kind.
     """
 
     targets: list[models.TargetState]
+    by_domain: dict[str, list[models.TargetState]]
     total: int
     count: int
+    misfits: dict[tuple[str, bool, str], tuple[float, float]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 def _find_free_slots(
     usable: abc.Sequence[models.TargetState], now: float
 ) -> FreeSlots:
-    free_slots = FreeSlots([], 0, 0)
+    targets: list[models.TargetState] = []
+    by_domain: dict[str, list[models.TargetState]] = {}
+    total = count = 0
     for target in usable:
-        if not _is_within_limit(target, now):
+        if target.pace is not None and not pacing.may_send(target.pace, now):
             continue
-        slots = target.slots
-        free = slots - target.outstanding
-        free_slots.total += slots
+        registration = target.registration
+        slots = 1 if target.resuming else registration.slots
+        free = slots - len(target.requests) - target.untracked
+        total += slots
         if free > 0:
-            free_slots.count += free
-            free_slots.targets.append(target)
-    return free_slots
+            count += free
+            targets.append(target)
+            domain = by_domain.get(registration.failure_domain)
+            if domain is None:
+                by_domain[registration.failure_domain] = [target]
+            else:
+                domain.append(target)
+    return FreeSlots(targets, by_domain, total, count)
 
 
 def _is_within_limit(target: models.TargetState, now: float) -> bool:
@@ -127,35 +153,136 @@
     is_full = target.outstanding >= target.slots
     if is_full or not _is_within_limit(target, now):
         free_slots.targets.remove(target)
+        domain = target.registration.failure_domain
+        free_slots.by_domain[domain].remove(target)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrived:
+    """A request arrived; the others suited no free slot before."""
+
+    request: models.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Freed:
+    """A slot of a target became free; the other free slots suited no request.
+
+    Attributes:
+        target: The target, if it is still one of the service.
+    """
+
+    target: models.TargetState | None
+
+
+Cause = Arrived | Freed
 
 
 def decide(
-    dispatcher: models.Dispatcher, now: float, rng: random.Random
+    dispatcher: models.Dispatcher,
+    now: float,
+    rng: random.Random,
+    cause: Cause | None = None,
 ) -> list[Decision]:
-    """Decide on all waiting requests and apply the decisions."""
-    _release_expired(dispatcher, now)
+    """Decide on the waiting requests and apply the decisions.
+
+    Args:
+        dispatcher: The dispatcher of the service.
+        now: Current time in seconds.
+        rng: Random number generator.
+        cause: All that has changed since the last decision; None for more.
+    """
+    if now >= dispatcher.next_release_at:
+        dispatcher.next_release_at = now + const.RELEASE_CHECK_SECONDS
+        _release_expired(dispatcher, now)
     if not dispatcher.waiting:
         return []
+    if (
+        cause is not None
+        and now < dispatcher.next_full_at
+        and not dispatcher.paced
+    ):
+        return _decide_quickly(dispatcher, cause, now, rng)
     usable = usable_targets(dispatcher, now)
-    paused = [] if usable else _paused_targets(dispatcher, now)
+    dispatcher.next_full_at = now + const.FULL_DECISION_SECONDS
+    dispatcher.usable = [
+        target
+        for target in usable
+        if target.consecutive_errors < const.ERRORS_TO_OPEN
+    ]
+    return _decide_fully(dispatcher, usable, now, rng)
+
+
+def require_full_decision(dispatcher: models.Dispatcher) -> None:
+    """Make the next decision a full one, as the usable targets changed."""
+    dispatcher.next_full_at = -math.inf
+
+
+def _decide_quickly(
+    dispatcher: models.Dispatcher,
+    cause: Cause,
+    now: float,
+    rng: random.Random,
+) -> list[Decision]:
+    """Decide on what a single change allows."""
+    free_slots = _find_free_slots(dispatcher.usable, now)
+    match cause:
+        case Arrived():
+            requests = [cause.request]
+        case Freed():
+            if cause.target not in free_slots.targets:
+                return []
+            free_slots.targets = [cause.target]
+            requests = _by_urgency(dispatcher, now)
+    emitted: list[Decision] = []
+    unsuitable = 0
+    for request in requests:
+        if not free_slots.targets or unsuitable > const.MAX_UNSUITABLE:
+            break
+        refusal = _refusal_reason(dispatcher, request, now)
+        if refusal is not None:
+            usable = dispatcher.usable
+            emitted.append(_refuse(dispatcher, request, refusal, usable, rng))
+            continue
+        target = _select_target(dispatcher, free_slots, request, now, rng)
+        if target is None:
+            unsuitable += 1
+            continue
+        unsuitable = 0
+        emitted.append(grant(dispatcher, request, target, now))
+        _take_slot(free_slots, target, now)
+    return emitted
+
+
+def _decide_fully(
+    dispatcher: models.Dispatcher,
+    usable: abc.Sequence[models.TargetState],
+    now: float,
+    rng: random.Random,
+) -> list[Decision]:
+    """Decide on every waiting request."""
     free_slots = _find_free_slots(usable, now)
+    paused = [] if usable else _paused_targets(dispatcher, now)
+    is_served = bool(usable or paused)
     emitted: list[Decision] = []
     late: list[models.Request] = []
     ungranted: list[models.Request] = []
     for request in _by_urgency(dispatcher, now):
-        refusal = _refusal_reason(dispatcher, request, now)
-        if not usable and not paused:
-            refusal = models.Refusal.NO_TARGET
+        refusal: models.Refusal | None = models.Refusal.NO_TARGET
+        if is_served:
+            refusal = _refusal_reason(dispatcher, request, now)
         if refusal is not None:
             emitted.append(_refuse(dispatcher, request, refusal, usable, rng))
             continue
-        target = _select_target(dispatcher, free_slots, request, now, rng)
+        target = None
+        if free_slots.targets:
+            target = _select_target(dispatcher, free_slots, request, now, rng)
         if target is not None:
             emitted.append(grant(dispatcher, request, target, now))
             _take_slot(free_slots, target, now)
             continue
         ungranted.append(request)
-        if is_unavoidably_late(request, now):
+        if now > request.latest_start:
             late.append(request)
     emitted.extend(_shed_late(dispatcher, [*usable, *paused], late, rng))
     emitted.extend(
@@ -334,7 +461,7 @@
 
 def _make_trial(dispatcher: models.Dispatcher, request: models.Request) -> None:
     request.is_trial = True
-    request.work = request.initial_work
+    request.set_work(request.initial_work)
     dispatcher.trials[request.route] = request.key
 
 
@@ -363,12 +490,13 @@
 def _by_urgency(
     dispatcher: models.Dispatcher, now: float
 ) -> list[models.Request]:
-    def rank(request: models.Request) -> tuple[bool, int, float]:
-        late = is_unavoidably_late(request, now)
-        end = request.deadline if late else request.soft_deadline
-        return late, request.priority, end - request.work
-
-    return sorted(dispatcher.waiting.values(), key=rank)
+    in_time: list[models.Request] = []
+    late: list[models.Request] = []
+    for request in dispatcher.waiting.values():
+        (late if now > request.latest_start else in_time).append(request)
+    in_time.sort(key=_RANK)
+    late.sort(key=_LATE_RANK)
+    return in_time + late
 
 
 def is_unavoidably_late(request: models.Request, now: float) -> bool:
@@ -376,7 +504,7 @@
 
     It is assumed to start on an idle target of usual speed.
     """
-    return now + request.work > request.soft_deadline
+    return now > request.latest_start
 
 
 def usable_targets(
@@ -387,12 +515,16 @@
     If too many are unavailable, all are returned that neither leave nor pause
     (panic mode).
     """
-    serving = [
-        target
-        for target in dispatcher.targets.values()
-        if not target.is_going and now >= target.paused_until
-    ]
-    healthy = [t for t in serving if not target_health.is_unavailable(t, now)]
+    serving: list[models.TargetState] = []
+    healthy: list[models.TargetState] = []
+    for target in dispatcher.targets.values():
+        if target.leaving or target.registration.draining:
+            continue
+        if now < target.paused_until:
+            continue
+        serving.append(target)
+        if not target_health.is_unavailable(target, now):
+            healthy.append(target)
     if len(healthy) < const.PANIC_THRESHOLD * len(serving):
         return serving
     return healthy
@@ -417,23 +549,26 @@
 ) -> models.TargetState | None:
     """Return the target for a request, or None if it should wait.
 
-    The cost of targets without a recent report gets random jitter. Without it,
-    entries that have no load data would all choose the same target.
+    Some of the free targets are compared, and the others only if none of these
+    can respond in time. The cost of targets without a recent report gets random
+    jitter. Without it, entries that have no load data would all choose the same
+    target.
     """
-    late = is_unavoidably_late(request, now)
+    late = now > request.latest_start
     end = request.deadline if late else request.soft_deadline
+    if _is_misfit(free_slots, request, end - now, late=late):
+        return None
     targets = free_slots.targets
     if late and free_slots.count <= const.SPARE_SLOT_SHARE * free_slots.total:
         targets = [t for t in targets if _is_slow_and_uncontended(t)]
-    candidates = [
-        _evaluate(dispatcher, target, request, now)
-        for target in targets
-        if _can_take(target, request, now)
-    ]
-    in_time = [
-        c for c in candidates if now + c.seconds * const.RUN_TIME_MARGIN <= end
-    ]
+        shortlist = targets
+    else:
+        shortlist = _shortlist(free_slots, request, rng)
+    in_time = _find_in_time(dispatcher, shortlist, request, end, now)
+    if not in_time and len(shortlist) < len(targets):
+        in_time = _find_in_time(dispatcher, targets, request, end, now)
     if not in_time:
+        _note_misfit(free_slots, request, end - now, late=late)
         return None
 
     def cost(candidate: Candidate) -> float:
@@ -444,6 +579,73 @@
     return min(in_time, key=cost).target
 
 
+def _shortlist(
+    free_slots: FreeSlots, request: models.Request, rng: random.Random
+) -> list[models.TargetState]:
+    """Return some free targets, half of them of the request's own domain."""
+    targets = free_slots.targets
+    if len(targets) <= 2 * const.SHORTLIST_HALF:
+        return targets
+    own = free_slots.by_domain.get(request.failure_domain, [])
+    chosen = _window(own, rng)
+    chosen.extend(t for t in _window(targets, rng) if t not in chosen)
+    return chosen
+
+
+def _window(
+    targets: list[models.TargetState], rng: random.Random
+) -> list[models.TargetState]:
+    size = const.SHORTLIST_HALF
+    if len(targets) <= size:
+        return list(targets)
+    first = rng.randrange(len(targets))
+    window = targets[first : first + size]
+    window.extend(targets[: size - len(window)])
+    return window
+
+
+def _find_in_time(
+    dispatcher: models.Dispatcher,
+    targets: abc.Iterable[models.TargetState],
+    request: models.Request,
+    end: float,
+    now: float,
+) -> list[Candidate]:
+    latest = (end - now) / const.RUN_TIME_MARGIN
+    candidates = []
+    for target in targets:
+        if target.registration.id in request.tried:
+            continue
+        candidate = _evaluate(dispatcher, target, request, now)
+        if candidate.seconds <= latest:
+            candidates.append(candidate)
+    return candidates
+
+
+def _is_misfit(
+    free_slots: FreeSlots, request: models.Request, left: float, *, late: bool
+) -> bool:
+    """Return whether a request with more time and no more work suited none."""
+    key = (request.route, late, request.failure_domain)
+    known = free_slots.misfits.get(key)
+    if known is None:
+        return False
+    work, seconds = known
+    return request.work >= work and left <= seconds
+
+
+def _note_misfit(
+    free_slots: FreeSlots, request: models.Request, left: float, *, late: bool
+) -> None:
+    """Remember that a request suits none of the free targets.
+
+    In the course of a pass their number only falls.
+    """
+    if not request.tried:
+        key = (request.route, late, request.failure_domain)
+        free_slots.misfits[key] = (request.work, left)
+
+
 def _is_slow_and_uncontended(target: models.TargetState) -> bool:
     """Return whether a late request may use a target while few slots are free.
 
@@ -460,14 +662,17 @@
     now: float,
 ) -> Candidate:
     seconds = estimates.uncontended_seconds(target, request.work, now)
-    delay_cost = 0.0
+    cost = 0.0
     if estimates.would_contend(target, 1):
         seconds *= dispatcher.contention_factor
-        delay_cost = _delay_cost(dispatcher, target, now)
+        if target.requests:
+            cost = _delay_cost(dispatcher, target, now)
     if target.registration.failure_domain != request.failure_domain:
         seconds += const.CROSS_DOMAIN_SECONDS
-    success_rate = 1.0 - target_health.error_rate(target, now)
-    return Candidate(target, seconds, (seconds + delay_cost) / success_rate)
+    cost += seconds
+    if target.errors > 0:
+        cost /= 1.0 - target_health.error_rate(target, now)
+    return Candidate(target, seconds, cost)
 
 
 def _delay_cost(
@@ -585,21 +790,10 @@
 
 
 def next_check(dispatcher: models.Dispatcher, now: float) -> float | None:
-    """Return the time of the next check, or None if nothing waits."""
+    """Return the time of the next check, or None if nothing waits.
+
+    Estimates change with time even if no message arrives.
+    """
     if not dispatcher.waiting:
         return None
-    times = [now + _CHECK_SECONDS]
-    for request in dispatcher.waiting.values():
-        end = (
-            request.deadline
-            if is_unavoidably_late(request, now)
-            else request.soft_deadline
-        )
-        times.append(end - request.work)
-    return max(min(times), now) + _CHECK_MARGIN_SECONDS
-
-
-# Maximum time between checks. Estimates change with time even if no message
-# arrives.
-_CHECK_SECONDS = 0.02
-_CHECK_MARGIN_SECONDS = 0.001
+    return max(now, dispatcher.next_full_at)
