Prefer a target that holds a connection to the entry among equals

Cause: an owner chose among free targets without regard to who asked; of 100 entries and 118 targets hardly two requests met on the same pair within 10 s.

Change: the owner remembers for each entry the targets that answered it within 8 s and compares these too; one of them wins if it is at most 2 ms slower, less than the way to another domain costs.

--- a/bench/owning.py
+++ b/bench/owning.py
@@ -10,6 +10,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import time
 from typing import Any
@@ -30,7 +31,10 @@
 OWNER = "10.0.0.1:7000"
 SERVICE = "orders"
 DOMAINS = ("boston", "hartford", "portland", "providence")
+ENTRIES = 100
 SLOTS = 2
+# Time after which a target closes an idle connection.
+IDLE_CLOSE_SECONDS = 10.0
 WORK_SECONDS = 0.17
 TARGET_LATENCY_SECONDS = 0.5
 DEADLINE_SECONDS = 2.0
@@ -64,11 +68,15 @@
     Attributes:
         requests: Number of requests.
         granted: Number that were granted a target.
+        connected: Number of these whose entry had a connection to the target.
+        crossing: Number of these whose target is in another failure domain.
         processor_seconds: Processor time of the owner.
     """
 
     requests: int = 0
     granted: int = 0
+    connected: int = 0
+    crossing: int = 0
     processor_seconds: float = 0.0
 
     @property
@@ -89,10 +97,18 @@
         self.order = itertools.count()
         self.numbers = itertools.count(1)
         self.held: dict[str, set[int]] = collections.defaultdict(set)
+        self.answered_at: dict[tuple[str, str], float] = {}
         self.state = core_state.create_state(
             core_state.Identity(OWNER, DOMAINS[0]), seed, has_services=False
         )
         self.post(events.Started(1, has_store=False, has_feed=True))
+        self.state.membership.failure_domains = {
+            OWNER: DOMAINS[0],
+            **{
+                f"10.2.0.{number}:7000": DOMAINS[number % len(DOMAINS)]
+                for number in range(ENTRIES)
+            },
+        }
         self._answer_feed()
 
     def _answer_feed(self) -> None:
@@ -145,6 +161,12 @@
         if not isinstance(message, messages.DispatchGranted):
             return
         self.outcome.granted += 1
+        answered_at = self.answered_at.get((peer, message.target), -math.inf)
+        idle = self.now - answered_at
+        self.outcome.connected += idle <= IDLE_CLOSE_SECONDS
+        domain = self.state.membership.failure_domains[peer]
+        registration = self.state.directory.targets[message.target]
+        self.outcome.crossing += domain != registration.failure_domain
         self.held[message.target].add(message.number)
         work = self.rng.lognormvariate(0.0, 0.3) * WORK_SECONDS
         slow = self.rng.random() < SLOW_SHARE
@@ -183,6 +205,7 @@
                 self.at(REPORT_SECONDS, item)
             case (str() as peer, messages.DispatchGranted() as granted):
                 self.held[granted.target].discard(granted.number)
+                self.answered_at[peer, granted.target] = self.now
                 ended = messages.DispatchEnded(
                     granted.number,
                     models.Ending.ANSWERED,
@@ -193,7 +216,7 @@
 
     def _request(self) -> None:
         self.outcome.requests += 1
-        peer = f"10.2.0.{self.rng.randrange(100)}:7000"
+        peer = f"10.2.0.{self.rng.randrange(ENTRIES)}:7000"
         request = messages.DispatchRequest(
             number=next(self.numbers),
             service=SERVICE,
@@ -246,7 +269,9 @@
         print(
             f"{name:24} {outcome.seconds_per_request * 1000:8.3f} ms/request, "
             f"{outcome.processor_seconds / load.seconds:6.3f} cores, "
-            f"{outcome.granted} of {outcome.requests} granted"
+            f"{outcome.granted} of {outcome.requests} granted, "
+            f"{outcome.connected / outcome.granted:.2f} on kept connections, "
+            f"{outcome.crossing / outcome.granted:.2f} across domains"
         )
 
 
--- a/src/agateshelf/core/dispatch/const.py
+++ b/src/agateshelf/core/dispatch/const.py
@@ -99,6 +99,13 @@
 # Free targets that are compared for a request: so many of the failure domain of
 # the requesting entry, and so many of all.
 SHORTLIST_HALF: Final = 12
+# Targets keep idle connections for some seconds at least. Seconds of expected time
+# by which a target may be slower that has a connection to the entry; less than
+# the way to another failure domain costs.
+CONNECTED_SECONDS: Final = 8.0
+CONNECTED_BONUS_SECONDS: Final = 0.002
+# Such targets that are remembered for an entry and service.
+MAX_CONNECTED: Final = 16
 # Interval of the look for grants whose end was not reported.
 RELEASE_CHECK_SECONDS: Final = 0.25
 
--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -11,6 +11,7 @@
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
 from agateshelf.core.directory import models as directory_models
+from agateshelf.core.dispatch import connections
 from agateshelf.core.dispatch import const
 from agateshelf.core.dispatch import estimates
 from agateshelf.core.dispatch import hedging
@@ -96,6 +97,8 @@
     entries = state.membership.failure_domains
     emitted: Effects = []
     for dispatcher in state.dispatch.dispatchers.values():
+        for entry in dispatcher.connected.keys() - entries.keys():
+            del dispatcher.connected[entry]
         for key in [k for k in dispatcher.waiting if k[0] not in entries]:
             del dispatcher.waiting[key]
         for request in list(dispatcher.granted.values()):
@@ -284,6 +287,7 @@
         estimates.record_speed(target, now, 1.0 / max(ended.slowness, 0.01))
     if ending is models.Ending.ANSWERED:
         target.resuming = False
+        connections.record_answer(dispatcher, request, now)
         estimates.record_run(dispatcher, request, ended.seconds)
     emitted: Effects = []
     if ending is not models.Ending.ANSWERED:
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -286,6 +286,8 @@
         next_full_at: Time from which the next decision is a full one.
         usable: Targets that were usable at the last full decision, and are not
             on trial.
+        connected: When targets last answered an entry, by entry and target, the
+            latest last.
         next_release_at: Time of the next look for grants that ended unnoticed.
         next_return_at: Time before which no further refused request is told to
             come back, while targets name limits.
@@ -318,6 +320,9 @@
     next_check_at: float = math.inf
     next_full_at: float = -math.inf
     usable: list[TargetState] = dataclasses.field(default_factory=list)
+    connected: dict[str, dict[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
     next_release_at: float = -math.inf
     next_return_at: float = -math.inf
     notices_seen: int = 0
--- a/src/agateshelf/core/dispatch/scheduling.py
+++ b/src/agateshelf/core/dispatch/scheduling.py
@@ -25,6 +25,7 @@
 import operator
 import random
 
+from agateshelf.core.dispatch import connections
 from agateshelf.core.dispatch import const
 from agateshelf.core.dispatch import estimates
 from agateshelf.core.dispatch import models
@@ -559,11 +560,14 @@
     if _is_misfit(free_slots, request, end - now, late=late):
         return None
     targets = free_slots.targets
+    connected: list[models.TargetState] = []
     if late and free_slots.count <= const.SPARE_SLOT_SHARE * free_slots.total:
         targets = [t for t in targets if _is_slow_and_uncontended(t)]
         shortlist = targets
     else:
-        shortlist = _shortlist(free_slots, request, rng)
+        if len(targets) > 1:
+            connected = _free_connected(dispatcher, request, now)
+        shortlist = _shortlist(free_slots, connected, request, rng)
     in_time = _find_in_time(dispatcher, shortlist, request, end, now)
     if not in_time and len(shortlist) < len(targets):
         in_time = _find_in_time(dispatcher, targets, request, end, now)
@@ -572,6 +576,8 @@
         return None
 
     def cost(candidate: Candidate) -> float:
+        if candidate.target in connected:
+            return candidate.cost - const.CONNECTED_BONUS_SECONDS
         if now - candidate.target.reported_at <= const.STALE_SECONDS:
             return candidate.cost
         return candidate.cost * (1 + const.STALE_JITTER * rng.random())
@@ -579,15 +585,36 @@
     return min(in_time, key=cost).target
 
 
+def _free_connected(
+    dispatcher: models.Dispatcher, request: models.Request, now: float
+) -> list[models.TargetState]:
+    """Return the targets with a free slot and a connection to the entry."""
+    return [
+        target
+        for target in connections.connected_targets(
+            dispatcher, request.key[0], now
+        )
+        if target.outstanding < target.slots
+        and not target.is_going
+        and now >= target.paused_until
+        and not target_health.is_unavailable(target, now)
+        and _is_within_limit(target, now)
+    ]
+
+
 def _shortlist(
-    free_slots: FreeSlots, request: models.Request, rng: random.Random
+    free_slots: FreeSlots,
+    connected: list[models.TargetState],
+    request: models.Request,
+    rng: random.Random,
 ) -> list[models.TargetState]:
     """Return some free targets, half of them of the request's own domain."""
     targets = free_slots.targets
     if len(targets) <= 2 * const.SHORTLIST_HALF:
         return targets
     own = free_slots.by_domain.get(request.failure_domain, [])
-    chosen = _window(own, rng)
+    chosen = [*connected]
+    chosen.extend(t for t in _window(own, rng) if t not in chosen)
     chosen.extend(t for t in _window(targets, rng) if t not in chosen)
     return chosen
 
