--- a/src/agateshelf/core/dispatch/const.py
+++ b/src/agateshelf/core/dispatch/const.py
@@ -99,9 +99,9 @@
 # Free targets that are compared for a request: so many of the failure domain of
 # the requesting entry, and so many of all.
 SHORTLIST_HALF: Final = 12
-# Targets keep idle connections for some seconds at least. Seconds of expected time
-# by which a target may be slower that has a connection to the entry; less than
-# the way to another failure domain costs.
+# Targets keep idle connections for some seconds at least. Seconds of expected
+# time by which a target may be slower that has a connection to the entry; less
+# than the way to another failure domain costs.
 CONNECTED_SECONDS: Final = 8.0
 CONNECTED_BONUS_SECONDS: Final = 0.002
 # Such targets that are remembered for an entry and service.
