Watch less often while targets change all the time

Each reader's watch of the targets returned changes again and again, with a pause of 0.25 s between.

Change: a pause of 0.6 s after a watch that returned changes within 1 s of the last one that did. A first change after a calm time is known as fast as before; routes are not concerned.

--- a/src/agateshelf/core/feed/models.py
+++ b/src/agateshelf/core/feed/models.py
@@ -72,6 +72,7 @@
         revision: Revision up to which it was read.
         failures: Failed requests in a row.
         retry_at: Time before which no request is sent.
+        changed_at: Time at which a watch last returned changes.
     """
 
     phase: Phase = Phase.IDLE
@@ -79,6 +80,7 @@
     revision: int = 0
     failures: int = 0
     retry_at: float = 0.0
+    changed_at: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -165,10 +165,25 @@
     topic_state = state.feed.topics[topic]
     topic_state.phase = models.Phase.WATCHING
     due = models.WatchResumeDue(topic, topic_state.request)
-    timers.schedule(state.timers, now + const.WATCH_PAUSE_SECONDS, due)
+    timers.schedule(state.timers, now + _pause_of(topic, topic_state, now), due)
+    topic_state.changed_at = now
     return []
 
 
+def _pause_of(
+    topic: models.Topic, topic_state: models.TopicState, now: float
+) -> float:
+    """Return the pause before the next watch, in seconds.
+
+    Answers the load of a fleet whose targets change their registrations all the
+    time: each change would cost every reader a request to the store.
+    """
+    is_busy = now - topic_state.changed_at < const.BUSY_WATCH_SECONDS
+    if topic is models.Topic.TARGETS and is_busy:
+        return const.BUSY_WATCH_PAUSE_SECONDS
+    return const.WATCH_PAUSE_SECONDS
+
+
 def on_watch_resume_due(
     state: core_state.State, event: models.WatchResumeDue
 ) -> Effects:
--- a/tests/core/feed/test_feed.py
+++ b/tests/core/feed/test_feed.py
@@ -294,3 +294,25 @@
     fleet.run_for(5.0)
     # Each of the three readers reads both topics once.
     assert fleet.store_calls <= usual + 2 * 2 * len(readers(fleet))
+
+
+def test_targets_that_change_all_the_time_cost_few_store_calls(fleet):
+    # As in a large fleet; two changes a second would be four calls a second.
+    fleet.store_calls = 0
+    for number in range(200):
+        name = f"t{number % 3}"
+        fleet.at(fleet.now + 0.05 * number, fleet.change, fleet.items[name])
+    fleet.run_for(10.0)
+    watches = fleet.store_calls / len(readers(fleet))
+    # Checks included, 1.25 a second.
+    assert watches <= 10.0 * (1 / 0.6 + 1.25) + 3
+
+
+def test_a_drain_among_constant_changes_is_known_in_time(fleet):
+    for number in range(100):
+        fleet.at(fleet.now + 0.05 * number, fleet.change, fleet.items["t1"])
+    fleet.run_for(3.0)
+    leaving = dataclasses.replace(fleet.items["t0"], draining=True)
+    fleet.change(leaving)
+    fleet.run_for(DRAIN_SECONDS / 2)
+    assert all(draining(fleet, "t0"))
