End the handling of one event, not of a task, on an unexpected error

Change: the driver logs the error with its trace, counts events.failed and goes on; a call whose arrival failed is told so (502, internal-error). Due timers are taken from the heap one at a time, so that a failing one loses no other.

--- a/src/agateshelf/core/timers.py
+++ b/src/agateshelf/core/timers.py
@@ -1,5 +1,6 @@
 """Timers: events scheduled for a later time, in a heap."""
 
+from collections import abc
 import dataclasses
 import heapq
 
@@ -39,9 +40,17 @@
     return timers.heap[0][0]
 
 
-def pop_due(timers: Timers, now: float) -> list[events.Event]:
-    """Remove and return the events that are due, in order."""
-    due = []
-    while timers.heap and timers.heap[0][0] <= now:
-        due.append(heapq.heappop(timers.heap)[2])
-    return due
+def pop_due(timers: Timers, now: float) -> abc.Iterator[events.Event]:
+    """Remove and yield the events that are due, in order.
+
+    Each is removed just before it is handled, so that an error in a handler
+    leaves the others scheduled. Events that handlers schedule meanwhile come
+    with the next call.
+    """
+    last = timers.count
+    while timers.heap:
+        at, number, event = timers.heap[0]
+        if at > now or number > last:
+            return
+        heapq.heappop(timers.heap)
+        yield event
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -19,6 +19,8 @@
 from agateshelf.core import reducer
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
+from agateshelf.core.outcomes import const as outcome_const
+from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.routes import models as route_models
 from agateshelf.daemon import clock
 from agateshelf.daemon import event_logging
@@ -45,6 +47,8 @@
 
 _log = logbook.Logger("driver")
 
+_RETRY_AFTER_ERROR_SECONDS = 0.5
+
 
 def _documents() -> Any:
     """Import the module of the service documents on first use."""
@@ -54,6 +58,17 @@
 AdoptLimitsCallback = abc.Callable[[route_models.Limits], None]
 
 
+def _internal_error() -> outcome_models.Refusal:
+    """Return the refusal of a call whose handling failed unexpectedly."""
+    return outcome_models.Refusal(
+        outcome_const.STATUS_BAD_GATEWAY,
+        outcome_models.Outcome.UNKNOWN,
+        outcome_const.REASON_INTERNAL_ERROR,
+        "This entry failed while it handled the request.",
+        _RETRY_AFTER_ERROR_SECONDS,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Driver:
     """Runs one reducer and carries out its effects.
@@ -112,10 +127,20 @@
         await self.post(events.ConfigurationRead(core_form))
 
     async def post(self, event: events.Event) -> None:
-        """Reduce an event and carry out the resulting effects."""
+        """Reduce an event and carry out the resulting effects.
+
+        An unexpected error ends the handling of this event alone: the task that
+        posts it may be one that all others depend on.
+        """
         now = clock.now()
-        for effect in reducer.reduce(self.state, now, event):
-            await self._perform(effect)
+        try:
+            for effect in reducer.reduce(self.state, now, event):
+                await self._perform(effect)
+        except Exception:
+            _log.exception("Unexpected error on a {}.", type(event).__name__)
+            self.metrics.count("events.failed")
+            if isinstance(event, events.RequestArrived):
+                await self.exchanges.refuse(event.call, _internal_error())
         await self._wake_timers()
 
     async def _wake_timers(self) -> None:
--- a/tests/core/feed/test_feed.py
+++ b/tests/core/feed/test_feed.py
@@ -316,3 +316,29 @@
     fleet.change(leaving)
     fleet.run_for(DRAIN_SECONDS / 2)
     assert all(draining(fleet, "t0"))
+
+
+def test_a_target_that_had_left_is_not_used_for_long_after_a_restart(fleet):
+    # A stale read at the start may be seconds old.
+    before = dict(fleet.items)
+    revision = fleet.revision
+    fleet.change(directory_models.Removal("t0", 0))
+    fleet.run_for(1.0)
+    read = fleet._read
+
+    def read_old(node, effect):
+        now, fleet.items, fleet.revision = fleet.items, before, revision
+        if effect.stale:
+            read(node, effect)
+        fleet.items, fleet.revision = now, fleet.changes[-1][0]
+        if not effect.stale:
+            read(node, effect)
+
+    fleet._read = read_old
+    name = next(n for n in fleet.nodes if n not in readers(fleet))
+    fleet.kill(name)
+    fleet.restart(name)
+    fleet.run_for(0.1)
+    assert "t0" in fleet.nodes[name].state.directory.targets
+    fleet.run_for(0.9)
+    assert "t0" not in fleet.nodes[name].state.directory.targets
