--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -32,8 +32,8 @@
 # store. It is an eighth of the 2 s within which all entries must know that a
 # target drains.
 WATCH_PAUSE_SECONDS: Final = 0.25
-# The same for targets while changes follow each other without end, as in a large
-# fleet, where each target changes its registration now and then.
+# The same for targets while changes follow each other without end, as in a
+# large fleet, where each target changes its registration now and then.
 BUSY_WATCH_PAUSE_SECONDS: Final = 0.6
 # A watch that returns changes so soon after the last one that did is busy.
 BUSY_WATCH_SECONDS: Final = 1.0
