Divide the targets of a large service into pools with an owner each

Change: a service of more than 32 targets has 2, 4, 8 ... pools by a hash of the target, each with its own owner, samplers and part of the retry slack; a request goes to a pool at random. Services of up to 32 targets are one pool of their own name, as before. Names tell the number of pools, so that entries that disagree for a moment mean different pools. Scores of the rendezvous hashing are cached, as there are more rankings now.

--- a/src/agateshelf/core/dispatch/const.py
+++ b/src/agateshelf/core/dispatch/const.py
@@ -82,6 +82,10 @@
 CAPACITY_EXPONENT: Final = 3.0
 MIN_WEIGHT: Final = 1e-6
 
+# Targets that one owner places requests on. Half as many, the fewest in a pool
+# of several, have enough free slots to choose among.
+MAX_POOL_TARGETS: Final = 32
+
 # Requests to the owner. An entry that doesn't reply in time is skipped as
 # owner, or excluded as sampler, for `SUSPICION_SECONDS`.
 REPLY_TIMEOUT_SECONDS: Final = 0.06
--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -18,6 +18,7 @@
 from agateshelf.core.dispatch import messages
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import owners
+from agateshelf.core.dispatch import pools
 from agateshelf.core.dispatch import restrictions
 from agateshelf.core.dispatch import retry_budget
 from agateshelf.core.dispatch import sampler_assignment
@@ -34,13 +35,13 @@
 def get_dispatcher(
     state: core_state.State, now: float, service: str
 ) -> models.Dispatcher:
-    """Return the dispatcher of a service, creating it on first use."""
+    """Return the dispatcher of a pool, creating it on first use."""
     dispatcher = state.dispatch.dispatchers.get(service)
     if dispatcher is not None:
         return dispatcher
     dispatcher = models.Dispatcher(service)
     state.dispatch.dispatchers[service] = dispatcher
-    for target in state.directory.services.get(service, ()):
+    for target in pools.targets_in(state, service):
         _update_target(dispatcher, state.directory.targets[target], now)
     return dispatcher
 
@@ -78,9 +79,10 @@
     affected = set()
     for target in event.targets:
         registration = state.directory.targets.get(target)
-        service = None if registration is None else registration.service
         for dispatcher in state.dispatch.dispatchers.values():
-            if registration is not None and service == dispatcher.service:
+            if registration is not None and pools.contains(
+                dispatcher.service, registration
+            ):
                 _update_target(dispatcher, registration, now)
                 affected.add(dispatcher.service)
             elif dispatcher.targets.pop(target, None) is not None:
@@ -89,6 +91,8 @@
     emitted: Effects = []
     for service in sorted(affected):
         emitted.extend(decide(state, now, state.dispatch.dispatchers[service]))
+    if owners.update_pools(state):
+        emitted.extend(start_owned(state, now))
     return emitted
 
 
@@ -110,13 +114,13 @@
 
 
 def start_owned(state: core_state.State, now: float) -> Effects:
-    """Start the dispatchers of the services that this entry owns."""
+    """Start the dispatchers of the pools that this entry owns."""
     if state.routes.table is None:
         return []
     emitted: Effects = []
-    for service in state.routes.table.health_paths:
-        if owners.is_owner(state, service):
-            dispatcher = get_dispatcher(state, now, service)
+    for pool in owners.all_pools(state):
+        if owners.is_owner(state, pool):
+            dispatcher = get_dispatcher(state, now, pool)
             emitted.extend(
                 sampler_assignment.ensure_sampling(state, now, dispatcher)
             )
@@ -213,9 +217,8 @@
     if not owners.is_owner(state, dispatcher.service):
         entries = len(state.membership.failure_domains)
         slack = retry_budget.fallback_slack(bounds, entries)
-    if not retry_budget.may_retry(
-        dispatcher.retry_window, bounds, now, share * slack
-    ):
+    slack *= share / pools.parse(dispatcher.service)[2]
+    if not retry_budget.may_retry(dispatcher.retry_window, bounds, now, slack):
         return False
     retry_budget.record_retry(dispatcher.retry_window, now)
     return True
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -262,11 +262,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Dispatcher:
-    """Dispatch state of one service at its owner.
+    """Dispatch state of one pool of targets at its owner.
 
     Attributes:
-        service: Name of the service.
-        targets: Targets of the service by identifier.
+        service: Name of the pool; that of its service if it is the only one.
+        targets: Targets of the pool by identifier.
         waiting: Requests that wait for a target, by key.
         granted: Requests that were granted a target, by key.
         work_estimates: Estimated run time in seconds on an idle target of usual
@@ -356,7 +356,7 @@
     Attributes:
         number: Number of the request.
         call: Number of the call.
-        service: Name of the service.
+        service: Name of the pool of targets that was chosen.
         owner: Entry that was asked last.
         tried_owners: Entries asked so far.
         queued: Whether the owner acknowledged that the request is queued.
@@ -387,6 +387,7 @@
             Cleared when the live entries or the routes change.
         sampler_rankings: Cached ranking of live entries as samplers, by service
             and failure domain.
+        pools: Pools of all services when rankings were last cleared for them.
         suspected_until: Times until which silent owners are skipped, by entry.
     """
 
@@ -405,6 +406,7 @@
     sampler_rankings: dict[tuple[str, str], tuple[str, ...]] = (
         dataclasses.field(default_factory=dict)
     )
+    pools: list[str] = dataclasses.field(default_factory=list)
     suspected_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
--- a/src/agateshelf/core/dispatch/owners.py
+++ b/src/agateshelf/core/dispatch/owners.py
@@ -1,12 +1,13 @@
-"""Determines which entry owns a service, and sends messages to owners.
+"""Determines which entry owns a pool of targets, and sends messages to owners.
 
-The owner of a service is the entry that ranks first in weighted rendezvous
-hashing, among the live entries that own no service yet. Entries that agree on
-the live entries and the routes thus agree on the owner, and an entry with more
-capacity is more likely to own a service. An owner that does not reply is
+The owner of a pool is the entry that ranks first in weighted rendezvous
+hashing, among the live entries that own no pool yet. Entries that agree on the
+live entries, the routes and the targets thus agree on the owner, and an entry
+with more capacity is more likely to own a pool. An owner that does not reply is
 skipped for a while.
 """
 
+import functools
 import math
 
 import xxhash
@@ -15,10 +16,13 @@
 from agateshelf.core import events
 from agateshelf.core import state as core_state
 from agateshelf.core.dispatch import const
+from agateshelf.core.dispatch import pools
 from agateshelf.core.membership import view
 from agateshelf.core.peers import models as peer_models
 
 _HASHES = 1 << 64
+# Scores that are kept; they are needed again whenever an entry comes or goes.
+_MAX_SCORES = 1 << 14
 
 
 def owner_ranking(state: core_state.State, service: str) -> tuple[str, ...]:
@@ -34,17 +38,14 @@
 
 
 def _assign_owners(state: core_state.State) -> None:
-    """Assign the services of the routes to distinct owners.
+    """Assign the pools of the routes' services to distinct owners.
 
-    An entry that owns two services has twice the load when both get a burst
-    of requests at the same time. If there are more services than entries,
-    assignment starts over with all entries.
+    An entry that owns two pools has twice the load when both get a burst of
+    requests at the same time. If there are more pools than entries, assignment
+    starts over with all entries.
     """
-    table = state.routes.table
-    if table is None:
-        return
     free = set(view.live_entries(state))
-    for service in sorted(table.health_paths):
+    for service in all_pools(state):
         ranking = _ranking_of(state, service)
         first = next((e for e in ranking if e in free), ranking[0])
         free.discard(first)
@@ -54,6 +55,32 @@
         state.dispatch.owner_rankings[service] = (first, *others)
 
 
+def all_pools(state: core_state.State) -> list[str]:
+    """Return the pools of all services of the routes, in order."""
+    table = state.routes.table
+    if table is None:
+        return []
+    return [
+        pool
+        for service in sorted(table.health_paths)
+        for pool in pools.names_of(state, service)
+    ]
+
+
+def update_pools(state: core_state.State) -> bool:
+    """Clear the rankings if services are divided in another way than before.
+
+    Returns:
+        Whether that is so.
+    """
+    names = all_pools(state)
+    if names == state.dispatch.pools:
+        return False
+    state.dispatch.pools = names
+    clear_rankings(state)
+    return True
+
+
 def _ranking_of(state: core_state.State, service: str) -> tuple[str, ...]:
     entries = view.live_entries(state)
     return _rank(state, f"dispatch/{service}", entries)
@@ -88,14 +115,19 @@
     """
 
     def score(entry: str) -> tuple[float, str]:
-        digest = xxhash.xxh64_intdigest(f"{job}/{entry}".encode())
-        fraction = (digest + 1) / _HASHES
-        weight = view.capacity_of(state, entry) ** const.CAPACITY_EXPONENT
-        return math.log(fraction) / max(weight, const.MIN_WEIGHT), entry
+        return _score(job, entry, view.capacity_of(state, entry)), entry
 
     return tuple(sorted(entries, key=score, reverse=True))
 
 
+@functools.lru_cache(maxsize=_MAX_SCORES)
+def _score(job: str, entry: str, capacity: float) -> float:
+    digest = xxhash.xxh64_intdigest(f"{job}/{entry}".encode())
+    fraction = (digest + 1) / _HASHES
+    weight: float = capacity**const.CAPACITY_EXPONENT
+    return math.log(fraction) / max(weight, const.MIN_WEIGHT)
+
+
 def is_owner(state: core_state.State, service: str) -> bool:
     """Return whether this entry owns a service."""
     return owner_ranking(state, service)[:1] == (state.identity.entry,)
--- a/src/agateshelf/core/dispatch/requester.py
+++ b/src/agateshelf/core/dispatch/requester.py
@@ -13,6 +13,7 @@
 from agateshelf.core.dispatch import messages
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import owners
+from agateshelf.core.dispatch import pools
 from agateshelf.core.forwarding import models as forwarding_models
 from agateshelf.core.peers import models as peer_models
 from agateshelf.core.target_notices import models as notice_models
@@ -31,9 +32,10 @@
     """
     dispatch = state.dispatch
     dispatch.last_request += 1
-    owner = owners.select_owner(state, now, call.service, set())
+    pool = pools.choose(state, call.service)
+    owner = owners.select_owner(state, now, pool, set())
     pending = models.PendingRequest(
-        dispatch.last_request, call.number, call.service, owner, {owner}
+        dispatch.last_request, call.number, pool, owner, {owner}
     )
     dispatch.pending_requests[pending.number] = pending
     call.dispatch_number = pending.number
@@ -53,7 +55,7 @@
         timers.schedule(state.timers, now + const.REPLY_TIMEOUT_SECONDS, due)
     message = messages.DispatchRequest(
         number=pending.number,
-        service=call.service,
+        service=pending.service,
         route=call.route.name,
         priority=call.route.priority,
         idempotent=call.route.idempotent,
@@ -61,7 +63,9 @@
         soft_timeout=call.soft_deadline - now,
         timeout=call.deadline - now,
         tried=tuple(sorted(call.tried)),
-        notices=spreading.take_untold(state, now, pending.owner, call.service),
+        notices=spreading.take_untold(
+            state, now, pending.owner, pending.service
+        ),
     )
     return owners.send(state, pending.owner, message)
 
--- a/src/agateshelf/core/dispatch/sampler_assignment.py
+++ b/src/agateshelf/core/dispatch/sampler_assignment.py
@@ -20,6 +20,7 @@
 from agateshelf.core.dispatch import messages
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import owners
+from agateshelf.core.dispatch import pools
 
 Effects = list[effects.Effect]
 
@@ -60,7 +61,8 @@
 def _is_idle(
     state: core_state.State, now: float, dispatcher: models.Dispatcher
 ) -> bool:
-    if owners.is_owner(state, dispatcher.service):
+    is_current = pools.is_current(state, dispatcher.service)
+    if is_current and owners.is_owner(state, dispatcher.service):
         return False
     return now - dispatcher.last_request_at > const.IDLE_AFTER_SECONDS
 
--- a/src/agateshelf/core/dispatch/sampling.py
+++ b/src/agateshelf/core/dispatch/sampling.py
@@ -18,6 +18,7 @@
 from agateshelf.core.dispatch import messages
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import owners
+from agateshelf.core.dispatch import pools
 from agateshelf.core.target_notices import gate
 from agateshelf.core.target_notices import records as notice_records
 
@@ -86,11 +87,11 @@
 
 
 def _targets_of(state: core_state.State, sampler: models.Sampler) -> list[str]:
-    directory = state.directory
+    targets = state.directory.targets
     return [
         target
-        for target in directory.services.get(sampler.service, ())
-        if directory.targets[target].failure_domain == sampler.failure_domain
+        for target in pools.targets_in(state, sampler.service)
+        if targets[target].failure_domain == sampler.failure_domain
     ]
 
 
@@ -98,7 +99,8 @@
     state: core_state.State, now: float, sampler: models.Sampler
 ) -> Effects:
     table = state.routes.table
-    path = None if table is None else table.health_paths.get(sampler.service)
+    service = pools.service_of(sampler.service)
+    path = None if table is None else table.health_paths.get(service)
     if path is None:
         return []
     skipped = set(sampler.probing).union(
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -95,6 +95,7 @@
             return feed.on_reader_resigned(state, now)
         case events.RoutesAdopted():
             owners.clear_rankings(state)
+            owners.update_pools(state)
             return dispatchers.start_owned(state, now)
         case events.TargetsChanged():
             notice_records.on_targets_changed(state, event)
--- a/src/agateshelf/core/target_notices/spreading.py
+++ b/src/agateshelf/core/target_notices/spreading.py
@@ -14,6 +14,7 @@
 from agateshelf.core import effects
 from agateshelf.core import state as core_state
 from agateshelf.core.dispatch import owners
+from agateshelf.core.dispatch import pools
 from agateshelf.core.peers import models as peer_models
 from agateshelf.core.target_notices import messages
 from agateshelf.core.target_notices import models
@@ -41,7 +42,7 @@
         state: State of the entry.
         now: Current time in seconds.
         owner: The owner.
-        service: Service whose targets' notices are returned.
+        service: Pool whose targets' notices are returned.
         only_closed: Whether to leave out targets that merely name a limit.
     """
     if owner == state.identity.entry or not state.target_notices.records:
@@ -53,7 +54,7 @@
         if process in record.told or not applies(record, now):
             continue
         registration = state.directory.targets.get(target)
-        if registration is None or registration.service != service:
+        if registration is None or not pools.contains(service, registration):
             continue
         record.told.add(process)
         notice = records.statement_of(state, now, target)
@@ -80,13 +81,9 @@
     state: core_state.State, now: float, notices: tuple[models.Notice, ...]
 ) -> Effects:
     """Record notices from another entry; an owner tells its successor."""
-    services = {
-        state.directory.targets[notice.target].service
-        for notice in notices
-        if records.merge(state, now, notice)
-    }
+    told = [n.target for n in notices if records.merge(state, now, n)]
     emitted: Effects = []
-    for service in sorted(services):
+    for service in sorted(_pools_of(state, told)):
         ranking = owners.owner_ranking(state, service)
         if ranking[:1] == (state.identity.entry,):
             for successor in ranking[1:2]:
@@ -105,7 +102,7 @@
     for record in notices.records.values():
         record.told &= processes
     emitted: Effects = []
-    for service in sorted(_services_of(state, notices.records)):
+    for service in sorted(_pools_of(state, notices.records)):
         ranking = owners.owner_ranking(state, service)
         if ranking[:1] == (state.identity.entry,):
             ranking = ranking[1:]
@@ -114,11 +111,9 @@
     return emitted
 
 
-def _services_of(
-    state: core_state.State, targets: abc.Iterable[str]
-) -> set[str]:
+def _pools_of(state: core_state.State, targets: abc.Iterable[str]) -> set[str]:
     return {
-        registration.service
+        pools.pool_of(state, registration)
         for target in targets
         if (registration := state.directory.targets.get(target)) is not None
     }
