Count an entry as ready only once it knows what is withheld

A consequence of reading withheld requests before the first send: an entry that knows no other refused calls as not-ready for a moment while its readiness check already succeeded.

--- a/src/agateshelf/daemon/status.py
+++ b/src/agateshelf/daemon/status.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from agateshelf.core.poison import persistence
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import messages
 from agateshelf.daemon.callers import problems
@@ -84,7 +85,8 @@
     if not driver.ready:
         return False
     if state.feed.enabled:
-        return state.routes.table is not None and bool(state.directory.targets)
+        knows_all = state.routes.table is not None and state.directory.targets
+        return bool(knows_all) and not persistence.is_needed(state)
     return state.version > 0
 
 
--- a/tests/daemon/test_routes.py
+++ b/tests/daemon/test_routes.py
@@ -64,6 +64,9 @@
     ):
         number = driver.state.feed.topics[topic].request
         await driver.post(events.FeedAnswered(number, answer))
+    # There is no store to tell which requests are withheld.
+    while driver.state.poison.storing.pending is not None:
+        await curio.sleep(0.01)
     # With a fresh load report of each target, the entry selects the first one
     # instead of a random one.
     loads = tuple(
