Choose among free targets alone, also by their connections

Found by reading: a target whose breaker lets one trial through counts as usable for full decisions only, but a quick one could choose it for its connection to the entry. Taking its slot then failed (ValueError), and the grant was lost. tests/core/dispatch/test_connections.py failed before. Also: the pool doesn't close a connection that was taken while it closed another.

--- a/src/agateshelf/core/dispatch/scheduling.py
+++ b/src/agateshelf/core/dispatch/scheduling.py
@@ -566,7 +566,7 @@
         shortlist = targets
     else:
         if len(targets) > 1:
-            connected = _free_connected(dispatcher, request, now)
+            connected = _free_connected(dispatcher, free_slots, request, now)
         shortlist = _shortlist(free_slots, connected, request, rng)
     in_time = _find_in_time(dispatcher, shortlist, request, end, now)
     if not in_time and len(shortlist) < len(targets):
@@ -586,20 +586,14 @@
 
 
 def _free_connected(
-    dispatcher: models.Dispatcher, request: models.Request, now: float
+    dispatcher: models.Dispatcher,
+    free_slots: FreeSlots,
+    request: models.Request,
+    now: float,
 ) -> list[models.TargetState]:
-    """Return the targets with a free slot and a connection to the entry."""
-    return [
-        target
-        for target in connections.connected_targets(
-            dispatcher, request.key[0], now
-        )
-        if target.outstanding < target.slots
-        and not target.is_going
-        and now >= target.paused_until
-        and not target_health.is_unavailable(target, now)
-        and _is_within_limit(target, now)
-    ]
+    """Return the free targets with a connection to the requesting entry."""
+    connected = connections.connected_targets(dispatcher, request.key[0], now)
+    return [target for target in connected if target in free_slots.targets]
 
 
 def _shortlist(
--- a/src/agateshelf/daemon/targets/pool.py
+++ b/src/agateshelf/daemon/targets/pool.py
@@ -47,6 +47,9 @@
                     await self._remove(conn)
 
     async def _remove(self, conn: connection.TargetConnection) -> None:
+        """Close an idle connection, unless it was taken meanwhile."""
+        if self.watched.get(conn.sock.fileno()) is not conn:
+            return
         self.idle[conn.address].remove(conn)
         self._unwatch(conn)
         await conn.close()
