--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -4,6 +4,7 @@
 a violation.
 """
 
+import bisect
 import collections
 from collections import abc
 from typing import Any
@@ -464,27 +465,34 @@
     """Find sends to targets that had said that they are leaving.
 
     An entry that has passed that on is excused by nothing but a pause. Others
-    are excused as long as they are not connected.
+    are excused as long as they are not connected. A later process of a target
+    has not said so.
     """
-    told: dict[tuple[str, int], float] = {}
-    told_any: dict[str, float] = {}
+    starts = collections.defaultdict[str, list[float]](list)
+    for line in history.ledger:
+        if line["kind"] == "started":
+            starts[line["by"]].append(line["at"])
+    told: dict[tuple[str, int, int], float] = {}
+    told_any: dict[tuple[str, int], float] = {}
     for call in history.calls:
         if not call.said_leaving or call.ended_at is None:
             continue
-        key = (call.answered_by, call.process_id)
+        process = bisect.bisect(starts[call.answered_by], call.ended_at)
+        key = (call.answered_by, process, call.process_id)
         told[key] = min(told.get(key, call.ended_at), call.ended_at)
-        first = told_any.get(call.answered_by, call.ended_at)
-        told_any[call.answered_by] = min(first, call.ended_at)
+        first = told_any.get(key[:2], call.ended_at)
+        told_any[key[:2]] = min(first, call.ended_at)
     late = collections.Counter[str]()
     for target, at, call in _arrivals(history):
-        since = told.get((target, call.process_id))
+        process = bisect.bisect(starts[target], at)
+        since = told.get((target, process, call.process_id))
         if since is not None and call.sent_at > since + DRAIN_SECONDS:
             if not _is_fault_active(
                 history, since, at, kinds=("entry",), index=call.entry
             ):
                 late[f"{target} from entry {call.entry}"] += 1
             continue
-        first = told_any.get(target, at)
+        first = told_any.get((target, process), at)
         if call.sent_at > first + LEAVING_KNOWN_SECONDS and _is_connected(
             history, call.entry, first - SETTLING_SECONDS, at
         ):
--- a/src/agateshelf_standins/member.py
+++ b/src/agateshelf_standins/member.py
@@ -79,6 +79,7 @@
 
     async def run(self, port: int) -> None:
         """Serve until SIGTERM, then announce draining, drain and deregister."""
+        self._append_to_ledger(kind="started")
         await self.server.start(port)
         self.address = self.address or self.server.address
         await curio.spawn(self._send_heartbeats, daemon=True)
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -207,3 +207,44 @@
 def test_sends_over_a_named_limit_are_found(history, violations):
     found = invariants.find_violations(history)
     assert len([line for line in found if "named" in line]) == violations
+
+
+def create_leaving_history(*starts):
+    """Create a history of a send after its target said that it is leaving."""
+    calls = [
+        create_call("a", answered_by="t0", said_leaving=True),
+        create_call("b", sent_at=103.0, ended_at=103.1),
+    ]
+    lines = [{"at": at, "by": "t0", "kind": "started"} for at in starts]
+    arrivals = [
+        ledger_line("a", 100.05, "arrived"),
+        ledger_line("b", 103.05, "arrived"),
+    ]
+    return create_history(*calls, ledger=[*lines, *arrivals])
+
+
+def test_a_late_send_to_a_leaving_target_is_found():
+    (found,) = invariants.find_violations(create_leaving_history(90.0))
+    assert "late sends to leaving t0" in found
+
+
+def test_a_later_process_of_a_leaving_target_may_get_requests():
+    history = create_leaving_history(90.0, 102.0)
+    assert invariants.find_violations(history) == []
+
+
+def create_pause_history(sends):
+    calls = [create_call("a", status=503, has_retry_after=True)]
+    lines = [{**ledger_line("a", 100.05, "paused"), "seconds": "3.0"}]
+    for number in range(sends):
+        name = f"b{number}"
+        sent_at = 101.0 + number / 10
+        calls.append(create_call(name, sent_at=sent_at, ended_at=sent_at + 0.1))
+        lines.append(ledger_line(name, sent_at + 0.05, "arrived"))
+    return create_history(*calls, ledger=lines)
+
+
+def test_more_than_two_sends_within_a_pause_are_found():
+    assert invariants.find_violations(create_pause_history(2)) == []
+    (found,) = invariants.find_violations(create_pause_history(3))
+    assert "asked for a pause and got 3 requests" in found
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 # Seed, duration of the fault phase in seconds, and why an earlier run failed.
 SEEDS = (
     (11, 5.0, "no failure so far: the short soak test of each CI run"),
+    (511, 10.0, "the soak held targets for leaving that had started again"),
     (438, 10.0, "the soak held targets for limited that had ended before"),
 )
 
