Name pools, the first load and what targets say as what they are

The values of StoreUse are logged, which explains a first load named 'load stale'. Outer names stay.

Core tests of dispatch, notices, forwarding and withheld requests pass.

--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -81,13 +81,13 @@
         registration = state.directory.targets.get(target)
         for dispatcher in state.dispatch.dispatchers.values():
             if registration is not None and pools.contains(
-                dispatcher.service, registration
+                dispatcher.pool, registration
             ):
                 _update_target(dispatcher, registration, now)
-                affected.add(dispatcher.service)
+                affected.add(dispatcher.pool)
             elif dispatcher.targets.pop(target, None) is not None:
                 scheduling.require_full_decision(dispatcher)
-                affected.add(dispatcher.service)
+                affected.add(dispatcher.pool)
     emitted: Effects = []
     for service in sorted(affected):
         emitted.extend(decide(state, now, state.dispatch.dispatchers[service]))
@@ -214,10 +214,10 @@
     """
     bounds = state.dispatch.bounds
     slack = retry_budget.owner_slack(bounds)
-    if not owners.is_owner(state, dispatcher.service):
+    if not owners.is_owner(state, dispatcher.pool):
         entries = len(state.membership.failure_domains)
         slack = retry_budget.fallback_slack(bounds, entries)
-    slack *= share / pools.parse(dispatcher.service)[2]
+    slack *= share / pools.parse(dispatcher.pool)[2]
     if not retry_budget.may_retry(dispatcher.retry_window, bounds, now, slack):
         return False
     retry_budget.record_retry(dispatcher.retry_window, now)
@@ -311,7 +311,7 @@
         "target.barred",
         details=(
             ("target", target.registration.id),
-            ("service", dispatcher.service),
+            ("service", dispatcher.pool),
             ("after", ending.name.lower()),
             ("errors_in_row", target.consecutive_errors),
             ("seconds", round(target.open_until - now, 3)),
@@ -390,7 +390,7 @@
     if check_at is not None and check_at < dispatcher.next_check_at:
         dispatcher.next_check_at = check_at
         timers.schedule(
-            state.timers, check_at, models.DispatcherDue(dispatcher.service)
+            state.timers, check_at, models.DispatcherDue(dispatcher.pool)
         )
 
 
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -235,10 +235,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Sampler:
-    """Sampling of a service's targets in a failure domain by this entry.
+    """Sampling of a pool's targets in a failure domain by this entry.
 
     Attributes:
-        service: Name of the service.
+        pool: Name of the pool.
         failure_domain: Failure domain of the targets.
         subscriptions: Subscriptions by subscribing entry.
         probing: Targets with a probe in flight.
@@ -247,7 +247,7 @@
         report_scheduled: Whether a report is scheduled.
     """
 
-    service: str
+    pool: str
     failure_domain: str
     subscriptions: dict[str, Subscription] = dataclasses.field(
         default_factory=dict
@@ -265,7 +265,7 @@
     """Dispatch state of one pool of targets at its owner.
 
     Attributes:
-        service: Name of the pool; that of its service if it is the only one.
+        pool: Name of the pool; that of its service if it is the only one.
         targets: Targets of the pool by identifier.
         waiting: Requests that wait for a target, by key.
         granted: Requests that were granted a target, by key.
@@ -298,7 +298,7 @@
         paced_at: When paces were last set, in seconds.
     """
 
-    service: str
+    pool: str
     targets: dict[str, TargetState] = dataclasses.field(default_factory=dict)
     waiting: dict[RequestKey, Request] = dataclasses.field(default_factory=dict)
     granted: dict[RequestKey, Request] = dataclasses.field(default_factory=dict)
@@ -356,7 +356,7 @@
     Attributes:
         number: Number of the request.
         call: Number of the call.
-        service: Name of the pool of targets that was chosen.
+        pool: Pool of targets that was chosen.
         owner: Entry that was asked last.
         tried_owners: Entries asked so far.
         queued: Whether the owner acknowledged that the request is queued.
@@ -366,7 +366,7 @@
 
     number: int
     call: int
-    service: str
+    pool: str
     owner: str
     tried_owners: set[str]
     queued: bool = False
--- a/src/agateshelf/core/dispatch/pools.py
+++ b/src/agateshelf/core/dispatch/pools.py
@@ -6,6 +6,9 @@
 named after its service and its place among the pools, so that entries which
 disagree on the number of targets for a moment mean different pools. A small
 service has one pool, of its own name.
+
+Messages, events and timers of dispatch carry the name of a pool in their field
+`service`, which earlier versions know by that name.
 """
 
 from collections import abc
--- a/src/agateshelf/core/dispatch/requester.py
+++ b/src/agateshelf/core/dispatch/requester.py
@@ -55,7 +55,7 @@
         timers.schedule(state.timers, now + const.REPLY_TIMEOUT_SECONDS, due)
     message = messages.DispatchRequest(
         number=pending.number,
-        service=pending.service,
+        service=pending.pool,
         route=call.route.name,
         priority=call.route.priority,
         idempotent=call.route.idempotent,
@@ -63,9 +63,7 @@
         soft_timeout=call.soft_deadline - now,
         timeout=call.deadline - now,
         tried=tuple(sorted(call.tried)),
-        notices=spreading.take_untold(
-            state, now, pending.owner, pending.service
-        ),
+        notices=spreading.take_untold(state, now, pending.owner, pending.pool),
     )
     return owners.send(state, pending.owner, message)
 
@@ -106,7 +104,7 @@
         pending.owner = state.identity.entry
     else:
         pending.owner = owners.select_owner(
-            state, now, pending.service, pending.tried_owners
+            state, now, pending.pool, pending.tried_owners
         )
     pending.tried_owners.add(pending.owner)
     emitted.extend(_send(state, now, pending, call))
--- a/src/agateshelf/core/dispatch/restrictions.py
+++ b/src/agateshelf/core/dispatch/restrictions.py
@@ -47,7 +47,7 @@
 def _set_paces(
     state: core_state.State, now: float, dispatcher: models.Dispatcher
 ) -> None:
-    role = sharing.role_of(state, dispatcher.service)
+    role = sharing.role_of(state, dispatcher.pool)
     share = sharing.share_of(state, now, role)
     starts_anew = _starts_anew(dispatcher, role, now)
     dispatcher.role = role
--- a/src/agateshelf/core/dispatch/sampler_assignment.py
+++ b/src/agateshelf/core/dispatch/sampler_assignment.py
@@ -33,7 +33,7 @@
         return []
     dispatcher.sampled = True
     dispatcher.role_since = math.inf
-    return on_due(state, now, models.SamplerCheckDue(dispatcher.service))
+    return on_due(state, now, models.SamplerCheckDue(dispatcher.pool))
 
 
 def on_due(
@@ -61,8 +61,8 @@
 def _is_idle(
     state: core_state.State, now: float, dispatcher: models.Dispatcher
 ) -> bool:
-    is_current = pools.is_current(state, dispatcher.service)
-    if is_current and owners.is_owner(state, dispatcher.service):
+    is_current = pools.is_current(state, dispatcher.pool)
+    if is_current and owners.is_owner(state, dispatcher.pool):
         return False
     return now - dispatcher.last_request_at > const.IDLE_AFTER_SECONDS
 
@@ -71,7 +71,7 @@
     state: core_state.State, now: float, dispatcher: models.Dispatcher
 ) -> bool:
     """Return whether this entry's role for a service is likely to last."""
-    is_owner = owners.is_owner(state, dispatcher.service)
+    is_owner = owners.is_owner(state, dispatcher.pool)
     if is_owner != dispatcher.is_owner or math.isinf(dispatcher.role_since):
         dispatcher.is_owner = is_owner
         dispatcher.role_since = now
@@ -165,7 +165,7 @@
     own_entry = state.identity.entry
     if not _serves_other_entries(state, now, dispatcher):
         return own_entry
-    for entry in owners.sampler_ranking(state, dispatcher.service, domain):
+    for entry in owners.sampler_ranking(state, dispatcher.pool, domain):
         if (
             entry != own_entry
             and dispatcher.excluded_samplers.get(entry, 0.0) <= now
@@ -178,7 +178,7 @@
     state: core_state.State, now: float, dispatcher: models.Dispatcher
 ) -> bool:
     """Return whether a dispatcher serves requests of other entries."""
-    if owners.is_owner(state, dispatcher.service):
+    if owners.is_owner(state, dispatcher.pool):
         return True
     return now - dispatcher.last_peer_request_at <= const.IDLE_AFTER_SECONDS
 
@@ -194,7 +194,7 @@
 ) -> Effects:
     interval = probe_interval(state.dispatch.bounds)
     if (
-        not owners.is_owner(state, dispatcher.service)
+        not owners.is_owner(state, dispatcher.pool)
         and entry == state.identity.entry
     ):
         # All entries that reach no owner together probe as much as two owners.
@@ -204,7 +204,7 @@
             / const.FALLBACK_OWNERS_EQUIVALENT,
         )
     subscription = messages.LoadSubscription(
-        dispatcher.service, domain, duration, interval, skipped
+        dispatcher.pool, domain, duration, interval, skipped
     )
     return owners.send(state, entry, subscription)
 
--- a/src/agateshelf/core/dispatch/sampling.py
+++ b/src/agateshelf/core/dispatch/sampling.py
@@ -90,7 +90,7 @@
     targets = state.directory.targets
     return [
         target
-        for target in pools.targets_in(state, sampler.service)
+        for target in pools.targets_in(state, sampler.pool)
         if targets[target].failure_domain == sampler.failure_domain
     ]
 
@@ -99,7 +99,7 @@
     state: core_state.State, now: float, sampler: models.Sampler
 ) -> Effects:
     table = state.routes.table
-    service = pools.service_of(sampler.service)
+    service = pools.service_of(sampler.pool)
     path = None if table is None else table.health_paths.get(service)
     if path is None:
         return []
@@ -116,7 +116,7 @@
         sampler.probing.add(target)
         emitted.append(
             effects.ProbeTarget(
-                service=sampler.service,
+                service=sampler.pool,
                 target=target,
                 address=registration.address,
                 path=path,
@@ -134,7 +134,7 @@
         state, now, event.target, leaving=event.leaving
     )
     for sampler in state.dispatch.samplers.values():
-        if sampler.service != event.service:
+        if sampler.pool != event.service:
             continue
         if event.target not in sampler.probing:
             continue
@@ -161,7 +161,7 @@
     if sampler.report_scheduled:
         return
     sampler.report_scheduled = True
-    due = models.LoadReportDue(sampler.service, sampler.failure_domain)
+    due = models.LoadReportDue(sampler.pool, sampler.failure_domain)
     timers.schedule(state.timers, now + const.REPORT_DELAY_SECONDS, due)
 
 
--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -35,7 +35,7 @@
         attempt.running = event.load.in_flight
         attempt.queued = event.load.queued
         attempt.slowness = event.load.slowness
-    emitted = _note_notice(state, now, attempt, event)
+    emitted = _record_notice(state, now, attempt, event)
     if event.streaming:
         return [*emitted, *_deliver_stream(state, now, call, attempt)]
     ending = _ending_of(event)
@@ -71,7 +71,7 @@
     return emitted
 
 
-def _note_notice(
+def _record_notice(
     state: core_state.State,
     now: float,
     attempt: models.Attempt,
@@ -146,21 +146,12 @@
     It is 0 if any target of the service may want them now.
     """
     ends = [
-        record.paused_until
+        notice_records.paused_until(state, target)
         for target in state.directory.services.get(service, ())
-        if (record := state.target_notices.records.get(target)) is not None
-        and not record.leaving
+        if not notice_records.is_leaving(state, target)
+        and not state.directory.targets[target].draining
     ]
-    going = sum(
-        notice_records.is_leaving(state, target)
-        or state.directory.targets[target].draining
-        for target in state.directory.services.get(service, ())
-    )
-    if not ends or len(ends) + going < len(
-        state.directory.services.get(service, ())
-    ):
-        return 0.0
-    return max(0.0, min(ends) - now)
+    return max(0.0, min(ends, default=now) - now)
 
 
 def may_retry(now: float, call: models.Call) -> bool:
--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -34,7 +34,7 @@
     state: core_state.State, now: float, event: events.RequestArrived
 ) -> Effects:
     """Accept a request as a call, or refuse it at once."""
-    if state.routes.table is None or persistence.is_needed(state):
+    if state.routes.table is None or persistence.awaits_first_load(state):
         return _refuse_early(state, event, refusals.not_ready())
     route = matching.find_route(state.routes, event.host, event.path)
     if route is None:
--- a/src/agateshelf/core/poison/models.py
+++ b/src/agateshelf/core/poison/models.py
@@ -125,7 +125,14 @@
 
 
 class StoreUse(enum.Enum):
-    """What a request to the store is for."""
+    """What a request to the store is for; the values are logged.
+
+    Attributes:
+        LOAD: Read by an entry that has become the reader.
+        FIRST_LOAD: Read at the start of an entry, mostly a stale one.
+        LEASE: Grant of the lease of what is written.
+        WRITE: Write of a withheld request.
+    """
 
     LOAD = "load"
     FIRST_LOAD = "load stale"
--- a/src/agateshelf/core/poison/persistence.py
+++ b/src/agateshelf/core/poison/persistence.py
@@ -51,11 +51,11 @@
     return _send(state, request, models.StoreUse.FIRST_LOAD)
 
 
-def is_needed(state: core_state.State) -> bool:
-    """Return whether nobody but the store can tell what is withheld yet.
+def awaits_first_load(state: core_state.State) -> bool:
+    """Return whether requests must wait until it is known what is withheld.
 
-    That is so until the first read was answered, or has failed, unless another
-    entry is known.
+    They need not if another entry is known, which tells it as well, nor once
+    the first read was answered or has failed.
     """
     pending = state.poison.storing.pending
     if pending is None or pending.use is not models.StoreUse.FIRST_LOAD:
--- a/src/agateshelf/core/target_notices/records.py
+++ b/src/agateshelf/core/target_notices/records.py
@@ -28,10 +28,15 @@
     return record is not None and record.leaving
 
 
+def paused_until(state: core_state.State, target: str) -> float:
+    """Return the time until which a target wants no requests."""
+    record = state.target_notices.records.get(target)
+    return -math.inf if record is None else record.paused_until
+
+
 def is_paused(state: core_state.State, now: float, target: str) -> bool:
     """Return whether a target wants no requests now."""
-    record = state.target_notices.records.get(target)
-    return record is not None and now < record.paused_until
+    return now < paused_until(state, target)
 
 
 def on_answer(
--- a/src/agateshelf/daemon/status.py
+++ b/src/agateshelf/daemon/status.py
@@ -85,8 +85,9 @@
     if not driver.ready:
         return False
     if state.feed.enabled:
-        knows_all = state.routes.table is not None and state.directory.targets
-        return bool(knows_all) and not persistence.is_needed(state)
+        if state.routes.table is None or not state.directory.targets:
+            return False
+        return not persistence.awaits_first_load(state)
     return state.version > 0
 
 
