--- a/src/agateshelf/core/dispatch/hedging.py
+++ b/src/agateshelf/core/dispatch/hedging.py
@@ -14,6 +14,7 @@
 from agateshelf.core.dispatch import estimates
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import scheduling
+from agateshelf.core.dispatch import selection
 
 
 def update_progress(
@@ -68,7 +69,7 @@
             work_done=0.0,
             work_updated_at=now,
         )
-        target = scheduling.idle_target(dispatcher, second_request, now)
+        target = selection.idle_target(dispatcher, second_request, now)
         if target is None:
             continue
         if not try_consume_retry():
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -179,7 +179,7 @@
         return 1 if self.resuming else self.registration.slots
 
     @property
-    def is_going(self) -> bool:
+    def is_departing(self) -> bool:
         """Return whether it must get no more requests, by whichever source."""
         return self.leaving or self.registration.draining
 
--- a/src/agateshelf/core/dispatch/target_health.py
+++ b/src/agateshelf/core/dispatch/target_health.py
@@ -81,7 +81,7 @@
     """Return whether a target should get no requests now.
 
     It does not respond to probes, its breaker is open, or a trial request is in
-    flight. The result is ignored in panic mode (`scheduling.usable_targets`).
+    flight. The result is ignored in panic mode (`free_slots.usable_targets`).
     """
     if target.unanswered_probes >= const.MAX_UNANSWERED_PROBES:
         return True
--- a/tests/core/dispatch/test_load.py
+++ b/tests/core/dispatch/test_load.py
@@ -6,6 +6,7 @@
 
 from agateshelf.core.dispatch import hedging
 from agateshelf.core.dispatch import scheduling
+from agateshelf.core.dispatch import selection
 from bench import dispatching
 
 
@@ -81,9 +82,9 @@
     for _ in range(100):
         world.add_request(now, dispatching.LOOKUPS)
     evaluated = []
-    evaluate = scheduling._evaluate
+    evaluate = selection.evaluate
     monkeypatch.setattr(
-        scheduling, "_evaluate", lambda *a: evaluated.append(a) or evaluate(*a)
+        selection, "evaluate", lambda *a: evaluated.append(a) or evaluate(*a)
     )
     scheduling.decide(world.dispatcher, now, world.rng)
     assert len(world.dispatcher.waiting) == 100
--- a/tests/core/dispatch/test_owning.py
+++ b/tests/core/dispatch/test_owning.py
@@ -8,22 +8,23 @@
 import pytest
 
 from agateshelf.core.dispatch import scheduling
+from agateshelf.core.dispatch import selection
 from bench import owning
 
 
 @pytest.fixture
 def count_calls(monkeypatch):
-    """Return a function that counts the calls of a function of scheduling."""
+    """Return a function that counts the calls of a function of a module."""
 
-    def count(name):
+    def count(module, name):
         calls = []
-        function = getattr(scheduling, name)
+        function = getattr(module, name)
 
         def counted(*arguments, **named):
             calls.append(1)
             return function(*arguments, **named)
 
-        monkeypatch.setattr(scheduling, name, counted)
+        monkeypatch.setattr(module, name, counted)
         return calls
 
     return count
@@ -36,13 +37,13 @@
 
 @pytest.mark.parametrize("rate", [330.0, 1000.0])
 def test_a_request_costs_a_bounded_number_of_evaluations(rate, count_calls):
-    evaluations = count_calls("_evaluate")
+    evaluations = count_calls(selection, "evaluate")
     outcome = run(118, rate)
     assert len(evaluations) <= 50 * outcome.requests
 
 
 def test_evaluations_do_not_grow_with_the_targets(count_calls):
-    evaluations = count_calls("_evaluate")
+    evaluations = count_calls(selection, "evaluate")
     small = run(120, 320.0)
     few = len(evaluations) / small.requests
     evaluations.clear()
@@ -51,7 +52,7 @@
 
 
 def test_full_decisions_do_not_grow_with_the_requests(count_calls):
-    full = count_calls("_decide_fully")
+    full = count_calls(scheduling, "_decide_fully")
     run(118, 1000.0)
     # Every 20 ms, and a few after failures.
     assert len(full) <= 3.0 / 0.02 * 1.2
