Call a pool a pool in the code of owners too

The last of a newcomer's read: parameters named 'service' that get the name of a pool, in owners, dispatchers and the spreading of notices. No behaviour; tests of dispatch and notices pass.

--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -33,15 +33,15 @@
 
 
 def get_dispatcher(
-    state: core_state.State, now: float, service: str
+    state: core_state.State, now: float, pool: str
 ) -> models.Dispatcher:
     """Return the dispatcher of a pool, creating it on first use."""
-    dispatcher = state.dispatch.dispatchers.get(service)
+    dispatcher = state.dispatch.dispatchers.get(pool)
     if dispatcher is not None:
         return dispatcher
-    dispatcher = models.Dispatcher(service)
-    state.dispatch.dispatchers[service] = dispatcher
-    for target in pools.targets_in(state, service):
+    dispatcher = models.Dispatcher(pool)
+    state.dispatch.dispatchers[pool] = dispatcher
+    for target in pools.targets_in(state, pool):
         _update_target(dispatcher, state.directory.targets[target], now)
     return dispatcher
 
@@ -89,8 +89,8 @@
                 scheduling.require_full_decision(dispatcher)
                 affected.add(dispatcher.pool)
     emitted: Effects = []
-    for service in sorted(affected):
-        emitted.extend(decide(state, now, state.dispatch.dispatchers[service]))
+    for pool in sorted(affected):
+        emitted.extend(decide(state, now, state.dispatch.dispatchers[pool]))
     if owners.update_pools(state):
         emitted.extend(start_owned(state, now))
     return emitted
--- a/src/agateshelf/core/dispatch/owners.py
+++ b/src/agateshelf/core/dispatch/owners.py
@@ -25,15 +25,15 @@
 _MAX_SCORES = 1 << 14
 
 
-def owner_ranking(state: core_state.State, service: str) -> tuple[str, ...]:
+def owner_ranking(state: core_state.State, pool: str) -> tuple[str, ...]:
     """Return the live entries in order of preference as owner."""
-    cached = state.dispatch.owner_rankings.get(service)
+    cached = state.dispatch.owner_rankings.get(pool)
     if cached is None:
         _assign_owners(state)
-        cached = state.dispatch.owner_rankings.get(service)
+        cached = state.dispatch.owner_rankings.get(pool)
     if cached is None:
-        cached = _ranking_of(state, service)
-        state.dispatch.owner_rankings[service] = cached
+        cached = _ranking_of(state, pool)
+        state.dispatch.owner_rankings[pool] = cached
     return cached
 
 
@@ -45,14 +45,14 @@
     starts over with all entries.
     """
     free = set(view.live_entries(state))
-    for service in all_pools(state):
-        ranking = _ranking_of(state, service)
+    for pool in all_pools(state):
+        ranking = _ranking_of(state, pool)
         first = next((e for e in ranking if e in free), ranking[0])
         free.discard(first)
         if not free:
             free = set(ranking)
         others = tuple(entry for entry in ranking if entry != first)
-        state.dispatch.owner_rankings[service] = (first, *others)
+        state.dispatch.owner_rankings[pool] = (first, *others)
 
 
 def all_pools(state: core_state.State) -> list[str]:
@@ -81,20 +81,20 @@
     return True
 
 
-def _ranking_of(state: core_state.State, service: str) -> tuple[str, ...]:
+def _ranking_of(state: core_state.State, pool: str) -> tuple[str, ...]:
     entries = view.live_entries(state)
-    return _rank(state, f"dispatch/{service}", entries)
+    return _rank(state, f"dispatch/{pool}", entries)
 
 
 def sampler_ranking(
-    state: core_state.State, service: str, failure_domain: str
+    state: core_state.State, pool: str, failure_domain: str
 ) -> tuple[str, ...]:
     """Return a failure domain's entries in order of preference as sampler."""
-    key = (service, failure_domain)
+    key = (pool, failure_domain)
     cached = state.dispatch.sampler_rankings.get(key)
     if cached is None:
         entries = view.entries_in(state, failure_domain)
-        cached = _rank(state, f"samples/{service}/{failure_domain}", entries)
+        cached = _rank(state, f"samples/{pool}/{failure_domain}", entries)
         state.dispatch.sampler_rankings[key] = cached
     return cached
 
@@ -128,20 +128,20 @@
     return math.log(fraction) / max(weight, const.MIN_WEIGHT)
 
 
-def is_owner(state: core_state.State, service: str) -> bool:
-    """Return whether this entry owns a service."""
-    return owner_ranking(state, service)[:1] == (state.identity.entry,)
+def is_owner(state: core_state.State, pool: str) -> bool:
+    """Return whether this entry owns a pool."""
+    return owner_ranking(state, pool)[:1] == (state.identity.entry,)
 
 
 def select_owner(
-    state: core_state.State, now: float, service: str, tried: set[str]
+    state: core_state.State, now: float, pool: str, tried: set[str]
 ) -> str:
     """Return the entry to request a target from.
 
     It is the highest-ranking one that is neither tried nor suspected, or this
     entry if there is none.
     """
-    for entry in owner_ranking(state, service):
+    for entry in owner_ranking(state, pool):
         if entry in tried:
             continue
         if state.dispatch.suspected_until.get(entry, 0.0) <= now:
--- a/src/agateshelf/core/target_notices/spreading.py
+++ b/src/agateshelf/core/target_notices/spreading.py
@@ -32,7 +32,7 @@
     state: core_state.State,
     now: float,
     owner: str,
-    service: str,
+    pool: str,
     *,
     only_closed: bool = False,
 ) -> tuple[models.Notice, ...]:
@@ -42,7 +42,7 @@
         state: State of the entry.
         now: Current time in seconds.
         owner: The owner.
-        service: Pool whose targets' notices are returned.
+        pool: Pool whose targets' notices are returned.
         only_closed: Whether to leave out targets that merely name a limit.
     """
     if owner == state.identity.entry or not state.target_notices.records:
@@ -54,7 +54,7 @@
         if process in record.told or not applies(record, now):
             continue
         registration = state.directory.targets.get(target)
-        if registration is None or not pools.contains(service, registration):
+        if registration is None or not pools.contains(pool, registration):
             continue
         record.told.add(process)
         notice = records.statement_of(state, now, target)
@@ -83,11 +83,11 @@
     """Record notices from another entry; an owner tells its successor."""
     told = [n.target for n in notices if records.merge(state, now, n)]
     emitted: Effects = []
-    for service in sorted(_pools_of(state, told)):
-        ranking = owners.owner_ranking(state, service)
+    for pool in sorted(_pools_of(state, told)):
+        ranking = owners.owner_ranking(state, pool)
         if ranking[:1] == (state.identity.entry,):
             for successor in ranking[1:2]:
-                emitted.extend(_tell(state, now, successor, service))
+                emitted.extend(_tell(state, now, successor, pool))
     return emitted
 
 
@@ -102,12 +102,12 @@
     for record in notices.records.values():
         record.told &= processes
     emitted: Effects = []
-    for service in sorted(_pools_of(state, notices.records)):
-        ranking = owners.owner_ranking(state, service)
+    for pool in sorted(_pools_of(state, notices.records)):
+        ranking = owners.owner_ranking(state, pool)
         if ranking[:1] == (state.identity.entry,):
             ranking = ranking[1:]
         for entry in ranking[:1]:
-            emitted.extend(_tell(state, now, entry, service))
+            emitted.extend(_tell(state, now, entry, pool))
     return emitted
 
 
@@ -120,9 +120,9 @@
 
 
 def _tell(
-    state: core_state.State, now: float, entry: str, service: str
+    state: core_state.State, now: float, entry: str, pool: str
 ) -> Effects:
-    untold = take_untold(state, now, entry, service, only_closed=True)
+    untold = take_untold(state, now, entry, pool, only_closed=True)
     if not untold:
         return []
     return owners.send(state, entry, messages.TargetNotices(untold))
