--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -61,6 +61,12 @@
     return fingerprints.fingerprint_of(parts, event.body_digest)
 
 
+def _content_of(event: events.RequestArrived) -> bytes:
+    host = matching.normalize_host(event.host)
+    parts = (host, event.method, event.path)
+    return fingerprints.fingerprint_of(parts, event.body_digest)
+
+
 def _refuse_early(
     state: core_state.State,
     event: events.RequestArrived,
@@ -110,6 +116,8 @@
         route=route,
         service=splitting.pick_service(state.routes, route, state.rng),
         fingerprint=fingerprint,
+        caller=event.caller,
+        content=_content_of(event),
         arrived=now,
         soft_deadline=now + _soft_timeout(state.routes, route, timeout),
         deadline=now + min(timeout, route.timeout),
@@ -255,6 +263,8 @@
         attempt=attempt,
         request_id=call.request_id,
         fingerprint=call.fingerprint,
+        caller=call.caller,
+        content=call.content,
         target=registration.id,
         address=registration.address,
         sent_at=now,
--- a/src/agateshelf/core/poison/evidence.py
+++ b/src/agateshelf/core/poison/evidence.py
@@ -73,6 +73,8 @@
         send.request_id,
         (
             ("fingerprint", fingerprints.short(send.fingerprint)),
+            ("caller", send.caller),
+            ("content", fingerprints.short(send.content)),
             ("target", send.target),
             ("born", send.born),
             ("kept_connection", loss.kept_connection),
--- a/src/agateshelf/core/poison/models.py
+++ b/src/agateshelf/core/poison/models.py
@@ -69,6 +69,8 @@
         attempt: Number of the attempt.
         request_id: The caller's identifier of the request, for logs.
         fingerprint: Digest by which repeats of the request are recognised.
+        caller: Name or address of the caller, for logs.
+        content: Digest of the request without its caller, for logs.
         target: Identifier of the target.
         address: `HOST:PORT` of the target.
         sent_at: Time of sending, in seconds.
@@ -86,6 +88,8 @@
     address: str
     sent_at: float
     crash_limit: int
+    caller: str = ""
+    content: bytes = b""
     born: int | None = None
     revision: int = 0
     loss_is_crash: bool = False
