--- a/tests/core/crash_fleet.py
+++ b/tests/core/crash_fleet.py
@@ -140,15 +140,18 @@
             process.id, address=process.address, born=process.born
         )
 
-    def repeat_marked(self, seconds, pause=0.1, names=None):
+    def repeat_marked(self, seconds, pause=0.1, names=None, callers=1):
         """Send the marked request through one entry after another.
 
-        Each entry gets another request twice a second as well.
+        Its callers take turns. Each entry gets another request twice a second
+        as well.
         """
         names = names or list(self.nodes)
         for number in range(int(seconds / pause)):
             name = names[number % len(names)]
-            self.at(self.now + number * pause, self.send_marked, name)
+            caller = f"100.64.0.{number % callers}"
+            at = self.now + number * pause
+            self.at(at, self.send_marked_of, caller, name)
         for number in range(int(2 * seconds)):
             for name in self.nodes:
                 self.at(self.now + number / 2, self._send_other, name)
@@ -158,6 +161,10 @@
         if self.nodes[name].alive:
             self.request(name, path=f"/vin/{next(self.calls)}")
 
+    def send_marked_of(self, caller, name):
+        """Send a caller's copy of the marked request to an entry."""
+        self.send_marked(name, caller=caller)
+
     def send_marked(self, name, **changes):
         """Send the marked request to an entry, unless it is down."""
         if not self.nodes[name].alive:
--- a/tests/core/poison/test_crashing_requests_over_entries.py
+++ b/tests/core/poison/test_crashing_requests_over_entries.py
@@ -21,6 +21,13 @@
     assert len(fleet.late_sends) <= crash_fleet.MAX_LATE_SENDS
 
 
+@pytest.mark.parametrize("ending", list(Ending))
+def test_a_request_is_withheld_whichever_caller_repeats_it(ending):
+    fleet = crash_fleet.CrashFleet(ending)
+    fleet.repeat_marked(20.0, callers=97)
+    assert len(fleet.late_sends) <= crash_fleet.MAX_LATE_SENDS
+
+
 @pytest.mark.parametrize("ending", list(Ending))
 def test_entries_that_restart_still_withhold_the_request(ending):
     fleet = crash_fleet.CrashFleet(ending)
