Recognise a crashing request whichever address sends it

Cause: the fingerprint by which repeats are recognised had the caller as a part, so that a workspace's request is never refused because of another's. On the platform callers have no names and the peer's address stood for one. A request that many clients send thus had as many fingerprints, each with one crash. Class of fault: a limit is counted under a key that has a part which doesn't matter to the harm.

Now the fingerprint of a routed request is host, method, path and body. Named callers of configured services keep theirs. The address stays in the log.

--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -207,6 +207,7 @@
         attempt=state.calls.last_attempt + 1,
         request_id="",
         fingerprint=fingerprint_of(call),
+        caller=call.caller,
         target=target.id,
         address=target.address,
         sent_at=now,
--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -55,13 +55,11 @@
 
 
 def fingerprint_of(event: events.RequestArrived) -> bytes:
-    """Return the digest by which repeats of a request are recognised."""
-    host = matching.normalize_host(event.host)
-    parts = (host, event.method, event.path, event.caller)
-    return fingerprints.fingerprint_of(parts, event.body_digest)
+    """Return the digest by which repeats of a request are recognised.
 
-
-def _content_of(event: events.RequestArrived) -> bytes:
+    Callers of routes have an address only, which says nothing of the request:
+    the same request crashes targets whoever sends it.
+    """
     host = matching.normalize_host(event.host)
     parts = (host, event.method, event.path)
     return fingerprints.fingerprint_of(parts, event.body_digest)
@@ -117,7 +115,6 @@
         service=splitting.pick_service(state.routes, route, state.rng),
         fingerprint=fingerprint,
         caller=event.caller,
-        content=_content_of(event),
         arrived=now,
         soft_deadline=now + _soft_timeout(state.routes, route, timeout),
         deadline=now + min(timeout, route.timeout),
@@ -264,7 +261,6 @@
         request_id=call.request_id,
         fingerprint=call.fingerprint,
         caller=call.caller,
-        content=call.content,
         target=registration.id,
         address=registration.address,
         sent_at=now,
--- a/src/agateshelf/core/forwarding/models.py
+++ b/src/agateshelf/core/forwarding/models.py
@@ -49,8 +49,7 @@
         route: The route it arrived on; route changes don't affect the call.
         service: Service that it is sent to.
         fingerprint: Digest by which repeats of the request are recognised.
-        caller: Name or address of the caller, for logs.
-        content: Digest of the request without its caller, for logs.
+        caller: Address of the caller, for logs.
         arrived: Time it arrived.
         soft_deadline: Time after which an answer is less useful.
         deadline: Time by which the caller gets an answer or a refusal.
@@ -72,7 +71,6 @@
     service: str
     fingerprint: bytes
     caller: str
-    content: bytes
     arrived: float
     soft_deadline: float
     deadline: float
--- a/src/agateshelf/core/poison/evidence.py
+++ b/src/agateshelf/core/poison/evidence.py
@@ -74,7 +74,6 @@
         (
             ("fingerprint", fingerprints.short(send.fingerprint)),
             ("caller", send.caller),
-            ("content", fingerprints.short(send.content)),
             ("target", send.target),
             ("born", send.born),
             ("kept_connection", loss.kept_connection),
--- a/src/agateshelf/core/poison/fingerprints.py
+++ b/src/agateshelf/core/poison/fingerprints.py
@@ -12,8 +12,9 @@
     """Return a digest that identifies a request if its caller repeats it.
 
     Args:
-        parts: What a repeat has in common with the request. The caller is one
-            of them, so that no request is refused because of another caller's.
+        parts: What a repeat has in common with the request. A caller with a
+            name of its own is one of them, so that no request is refused
+            because of another caller's.
         body_digest: Digest of the body.
     """
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
--- a/src/agateshelf/core/poison/models.py
+++ b/src/agateshelf/core/poison/models.py
@@ -70,7 +70,6 @@
         request_id: The caller's identifier of the request, for logs.
         fingerprint: Digest by which repeats of the request are recognised.
         caller: Name or address of the caller, for logs.
-        content: Digest of the request without its caller, for logs.
         target: Identifier of the target.
         address: `HOST:PORT` of the target.
         sent_at: Time of sending, in seconds.
@@ -89,7 +88,6 @@
     sent_at: float
     crash_limit: int
     caller: str = ""
-    content: bytes = b""
     born: int | None = None
     revision: int = 0
     loss_is_crash: bool = False
