Let a withheld request show that it crashes nothing

Callers would have seen: a request that many of them send, and that ran on two targets which ended for another reason, refused to all of them for 600 s. Nothing could clear it, since nothing of it was sent any more.

Cause: coincidences count as guilt, and a withheld request has no way to prove the reverse. Considered: counting only crashes that follow one another (two sides of a partition then don't add up), and blaming the likeliest request on each target (doesn't help when no request is to blame).

Now one entry for all sends a single copy 5 s after the latest crash; two answers in a row clear the request, a further crash makes the next trial six times as rare. Refusals name that time.

--- a/src/agateshelf/core/poison/const.py
+++ b/src/agateshelf/core/poison/const.py
@@ -28,6 +28,14 @@
 # An attempt abandoned after this time without an answer has its target checked.
 UNANSWERED_CHECK_SECONDS: Final = 0.5
 
+# Pause between the latest crash of a withheld request and its next trial, and
+# the factor by which it grows with each trial that crashes a target as well.
+TRIAL_PAUSE_SECONDS: Final = 5.0
+TRIAL_PAUSE_FACTOR: Final = 6.0
+# Pause after a trial that its target did not run.
+TRIAL_RETRY_SECONDS: Final = 0.5
+MAX_TRIALS: Final = 256
+
 # Limit on the messages sent to all other entries. What exceeds it waits, and is
 # sent together.
 MESSAGES_PER_SECOND: Final = 5.0
--- a/src/agateshelf/core/poison/models.py
+++ b/src/agateshelf/core/poison/models.py
@@ -61,6 +61,23 @@
     crashes: dict[Process, Crash] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class Trial:
+    """The latest trial of a withheld request by this entry.
+
+    Attributes:
+        attempt: Number of its attempt.
+        retry_at: Time before which no other follows, in seconds.
+        failed: Trials without an answer, this one included while it runs.
+        answered: Trials in a row that were answered.
+    """
+
+    attempt: int
+    retry_at: float = -math.inf
+    failed: int = 0
+    answered: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
     """A request that was sent to a target.
@@ -188,6 +205,7 @@
 
     Attributes:
         suspects: Suspects by fingerprint, the least recent first.
+        trials: Trials of withheld requests by fingerprint, the oldest first.
         in_flight: Sends without an answer yet, by attempt.
         losses: Losses by fingerprint, the least recent first.
         ended: When each process was found to have ended, the oldest first.
@@ -207,6 +225,7 @@
     suspects: collections.OrderedDict[bytes, Suspect] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    trials: dict[bytes, Trial] = dataclasses.field(default_factory=dict)
     in_flight: dict[int, Send] = dataclasses.field(default_factory=dict)
     losses: collections.OrderedDict[bytes, list[Loss]] = dataclasses.field(
         default_factory=collections.OrderedDict
--- a/src/agateshelf/core/poison/records.py
+++ b/src/agateshelf/core/poison/records.py
@@ -116,23 +116,24 @@
     suspects.popitem(last=False)
 
 
-def clear(
+def is_confirmed(
     state: core_state.State, now: float, fingerprint: bytes, limit: int
-) -> list[models.Process]:
-    """Clear the crashes of a request; return the processes concerned.
-
-    A request with as many confirmed crashes as the limit stays withheld: some
-    targets, such as those of another version, may survive what crashes others.
-    """
-    suspect = state.poison.suspects.get(fingerprint)
-    if suspect is None:
-        return []
+) -> bool:
+    """Return whether a request has as many confirmed crashes as the limit."""
     confirmed = [
         crash
         for crash in active_crashes(state, now, fingerprint)
         if crash.status is models.Status.CONFIRMED
     ]
-    if len(confirmed) >= limit:
+    return len(confirmed) >= limit
+
+
+def clear(
+    state: core_state.State, now: float, fingerprint: bytes
+) -> list[models.Process]:
+    """Clear the crashes of a request; return the processes concerned."""
+    suspect = state.poison.suspects.get(fingerprint)
+    if suspect is None:
         return []
     cleared = []
     for process, crash in list(suspect.crashes.items()):
--- a/src/agateshelf/core/poison/refusals.py
+++ b/src/agateshelf/core/poison/refusals.py
@@ -5,6 +5,7 @@
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.poison import const
 from agateshelf.core.poison import records
+from agateshelf.core.poison import trials
 
 
 def refusal_of(
@@ -24,7 +25,7 @@
         outcome: Whether an earlier attempt of this call may have run.
     """
     until = records.withheld_until(state, now, fingerprint, limit)
-    if until is None:
+    if until is None or trials.is_due(state, now, fingerprint):
         return None
     crashes = len(records.active_crashes(state, now, fingerprint))
     status = outcome_const.STATUS_BAD_GATEWAY
@@ -38,5 +39,14 @@
             f"Targets crashed {crashes} times while they ran this request. "
             "It was not forwarded this time; earlier attempts may have run."
         ),
-        retry_after=until - now,
+        retry_after=_retry_after(state, now, fingerprint, until),
     )
+
+
+def _retry_after(
+    state: core_state.State, now: float, fingerprint: bytes, until: float
+) -> float:
+    """Return the seconds until the request may be served again."""
+    trial_at = trials.next_at(state, now, fingerprint)
+    after_trial = max(trial_at - now, 0.0) + const.TRIAL_RETRY_SECONDS
+    return min(until - now, after_trial)
--- a/src/agateshelf/core/poison/sends.py
+++ b/src/agateshelf/core/poison/sends.py
@@ -17,6 +17,7 @@
 from agateshelf.core.poison import records
 from agateshelf.core.poison import refusals
 from agateshelf.core.poison import replication
+from agateshelf.core.poison import trials
 
 Effects = list[effects.Effect]
 
@@ -53,9 +54,22 @@
     refusal = refusals.refusal_of(
         state, now, send.fingerprint, send.crash_limit, outcome
     )
-    if refusal is None:
-        state.poison.in_flight[send.attempt] = send
-    return refusal
+    if refusal is not None:
+        return refusal
+    if _is_withheld(state, now, send):
+        trials.begin(state, now, send)
+    state.poison.in_flight[send.attempt] = send
+    return None
+
+
+def _is_withheld(
+    state: core_state.State, now: float, send: models.Send
+) -> bool:
+    """Return whether the request of a send is withheld but for trials."""
+    until = records.withheld_until(
+        state, now, send.fingerprint, send.crash_limit
+    )
+    return until is not None
 
 
 def on_failed(
@@ -65,10 +79,13 @@
     send = state.poison.in_flight.pop(event.attempt, None)
     if send is None:
         return []
+    if not event.any_byte_sent:
+        trials.on_not_run(state, now, send)
     if event.kind is outcome_models.FailureKind.CONNECT:
         return _on_not_connected(state, now, send)
     if not event.any_byte_sent:
         return []
+    trials.on_lost(state, send)
     if not is_loss(event):
         return evidence.record_silence(state, now, send)
     loss = evidence.loss_of(send, now, kept_connection=event.kept_connection)
@@ -111,6 +128,8 @@
     send = state.poison.in_flight.pop(attempt, None)
     if send is None:
         return []
+    if not_run or status >= _FIRST_SERVER_ERROR:
+        trials.on_not_run(state, now, send)
     if misdirected:
         return evidence.on_misdirected(state, now, send)
     if not_run or status >= _FIRST_SERVER_ERROR:
@@ -119,9 +138,19 @@
 
 
 def _clear(state: core_state.State, now: float, send: models.Send) -> Effects:
+    """Clear a request that was answered, unless it is withheld.
+
+    An answer that crossed the crashes says little: some targets, such as those
+    of another version, may survive what crashes others. Trials decide then.
+    """
     fingerprint = send.fingerprint
     state.poison.losses.pop(fingerprint, None)
-    cleared = records.clear(state, now, fingerprint, send.crash_limit)
+    is_cleared = trials.on_answered(state, now, send)
+    if not is_cleared and records.is_confirmed(
+        state, now, fingerprint, send.crash_limit
+    ):
+        return []
+    cleared = records.clear(state, now, fingerprint)
     if not cleared:
         return []
     return [
@@ -145,6 +174,7 @@
     if send is None:
         return []
     if not event.whole:
+        trials.on_lost(state, send)
         return evidence.on_loss(state, now, evidence.loss_of(send, now))
     return _clear(state, now, send)
 
@@ -161,4 +191,5 @@
     send = state.poison.in_flight.pop(event.attempt, None)
     if send is None:
         return []
+    trials.on_lost(state, send)
     return evidence.record_silence(state, now, send)
