Recognise a crashing request however its path is escaped

The fingerprint took the path as it was sent, so that %2f and %2F, or ~ and %7E, made two requests of what targets see as one (RFC 3986, section 6.2.2), each allowed its own crashes. The test fails without the change.

--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -49,7 +49,8 @@
 
 def fingerprint_of(call: models.Call) -> bytes:
     """Return the digest by which repeats of a request are recognised."""
-    parts = (call.service.name, call.caller, call.method, call.path)
+    path = fingerprints.normalize_path(call.path)
+    parts = (call.service.name, call.caller, call.method, path)
     return fingerprints.fingerprint_of(parts, call.body_digest)
 
 
--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -61,7 +61,8 @@
     the same request crashes targets whoever sends it.
     """
     host = matching.normalize_host(event.host)
-    parts = (host, event.method, event.path)
+    path = fingerprints.normalize_path(event.path)
+    parts = (host, event.method, path)
     return fingerprints.fingerprint_of(parts, event.body_digest)
 
 
--- a/src/agateshelf/core/poison/fingerprints.py
+++ b/src/agateshelf/core/poison/fingerprints.py
@@ -2,10 +2,15 @@
 
 from collections import abc
 import hashlib
+import re
+import string
 
 _FINGERPRINT_BYTES = 16
 _LENGTH_BYTES = 4
 _LOGGED_BYTES = 4
+_ESCAPE = re.compile("%[0-9A-Fa-f]{2}")
+# RFC 3986, section 2.3.
+_UNRESERVED = frozenset(string.ascii_letters + string.digits + "-._~")
 
 
 def fingerprint_of(parts: abc.Iterable[str], body_digest: bytes) -> bytes:
@@ -26,6 +31,19 @@
     return digest.digest()
 
 
+def normalize_path(path: str) -> str:
+    """Return a path with query in the one form of all equivalent escapes.
+
+    Targets see no difference between them (RFC 3986, section 6.2.2).
+    """
+    return _ESCAPE.sub(_normalize_escape, path)
+
+
+def _normalize_escape(match: re.Match[str]) -> str:
+    character = chr(int(match[0][1:], 16))
+    return character if character in _UNRESERVED else match[0].upper()
+
+
 def short(fingerprint: bytes) -> str:
     """Return the start of a fingerprint, which joins log lines."""
     return fingerprint[:_LOGGED_BYTES].hex()
--- a/tests/core/poison/test_crashing_requests_over_entries.py
+++ b/tests/core/poison/test_crashing_requests_over_entries.py
@@ -28,6 +28,20 @@
     assert len(fleet.late_sends) <= crash_fleet.MAX_LATE_SENDS
 
 
+def test_a_request_is_withheld_however_its_path_is_escaped():
+    fleet = crash_fleet.CrashFleet(Ending.REFUSED)
+    name = next(iter(fleet.nodes))
+    fleet.send_marked(name, path="/vin/a%2fb~c")
+    fleet.run_for(3.0)
+    for path in ("/vin/a%2Fb~c", "/vin/%61%2Fb%7Ec", "/vin/a%2fb%7ec"):
+        kind, _ = fleet.response(fleet.send_marked(name, path=path))
+        assert kind == "refused"
+    # A slash that is not escaped is another path.
+    fleet.send_marked(name, path="/vin/a/b~c")
+    fleet.run_for(0.01)
+    assert len(fleet.marked_sends) == 3
+
+
 @pytest.mark.parametrize("ending", list(Ending))
 def test_entries_that_restart_still_withhold_the_request(ending):
     fleet = crash_fleet.CrashFleet(ending)
