--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -183,6 +183,17 @@
             ),
         ),
     ),
+    Mutation(
+        "crashing-requests-of-many-callers",
+        "late after",
+        (
+            Edit(
+                f"{_CORE}/forwarding/lifecycle.py",
+                "parts = (host, event.method, path)",
+                "parts = (host, event.method, path, event.caller)",
+            ),
+        ),
+    ),
     Mutation(
         "target-limits",
         "named",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -110,9 +110,21 @@
 
 
 async def send_once(
-    cluster: Any, history: history_lib.History, entry: int, path: str
+    cluster: Any,
+    history: history_lib.History,
+    entry: int,
+    path: str,
+    source: str = "",
 ) -> None:
-    """Send a lookup to an entry over a new connection and record it."""
+    """Send a lookup to an entry over a new connection and record it.
+
+    Args:
+        cluster: The cluster.
+        history: History that the call is added to.
+        entry: Number of the entry.
+        path: Path of the lookup.
+        source: Loopback address that it is sent from; empty for any.
+    """
     call = history_lib.Call(
         f"x{next(_single_numbers)}",
         path,
@@ -123,7 +135,7 @@
         LOOKUP_TIMEOUT_SECONDS,
     )
     try:
-        sock = await _connect(cluster.entries[entry].caller_address)
+        sock = await _connect(cluster.entries[entry].caller_address, source)
     except OSError:
         return
     async with sock:
@@ -137,11 +149,14 @@
         await _await_response(sock, conn, call)
 
 
-async def _connect(address: str) -> Any:
+async def _connect(address: str, source: str = "") -> Any:
     host, _, port = address.rpartition(":")
+    bound = (source, 0) if source else None
     try:
         async with curio.timeout_after(1.0):
-            return await curio.open_connection(host, int(port))
+            return await curio.open_connection(
+                host, int(port), source_addr=bound
+            )
     except curio.TaskTimeout:
         raise TimeoutError(address) from None
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -207,11 +207,13 @@
         number: Number that tells such requests of a plan apart.
         seconds: How long it is repeated.
         ending: How its targets end.
+        callers: Number of callers, each with an address of its own.
     """
 
     number: int
     seconds: float
     ending: CrashEnding
+    callers: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -337,6 +339,7 @@
 # Shares of plans with a crashing request, with a service that sheds, and with
 # targets that name limits.
 CRASHING_SHARE = 0.6
+MAX_CRASHING_CALLERS = 97
 SHED_SHARE = 0.4
 LIMITS_SHARE = 0.5
 # Shares of plans with targets that say they are leaving, and that ask for a
@@ -382,7 +385,11 @@
     if rng.random() < CRASHING_SHARE:
         at = rng.uniform(0.0, seconds / 5)
         ending = rng.choice(list(CrashEnding))
-        drawn.append((at, CrashingRequest(0, seconds - at, ending)))
+        callers = random.Random(f"{seed}/callers").choice(
+            (1, MAX_CRASHING_CALLERS)
+        )
+        request = CrashingRequest(0, seconds - at, ending, callers)
+        drawn.append((at, request))
     if rng.random() < SHED_SHARE:
         at = rng.uniform(0.0, seconds / 2)
         shed = ShedService(rng.randrange(2), rng.uniform(2.0, 4.0))
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -229,8 +229,9 @@
     async with curio.TaskGroup() as group:
         while time.monotonic() < end:
             entry = rng.randrange(len(cluster.entries))
+            source = f"127.0.1.{rng.randint(1, fault.callers)}"
             await group.spawn(
-                callers.send_once, cluster, cluster.history, entry, path
+                callers.send_once, cluster, cluster.history, entry, path, source
             )
             for target in cluster.targets:
                 if _has_crashed(target):
