Test entries that are cut off from all targets, known red

The soak draws such cuts from a generator of their own; a link tells entries apart by the process that has the other end of a connection.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -23,6 +23,7 @@
 from soak import history as history_lib
 from soak import invariants
 from soak import links
+from soak import sockets
 
 DOMAINS = ("boston", "hartford")
 GRACE_SECONDS = 4.0
@@ -136,6 +137,14 @@
         counts: dict[str, int] = json.loads(body)
         return sum(counts.get(kind, 0) for kind in ("get", "range", "watch"))
 
+    def entry_of_port(self, port: int) -> int | None:
+        """Return the number of the entry with a local TCP port, if any."""
+        inode = sockets.inode_of_port(port)
+        for entry in self.entries:
+            if inode and sockets.has_socket(entry.process_id, inode):
+                return entry.number
+        return None
+
     def add_fault_window(self, kind: str, index: int, begin: float) -> None:
         """Record a fault that ends now."""
         end = time.time()
@@ -263,7 +272,7 @@
     cluster.ledger_path.touch()
     cluster.write_table()
     for number in range(plan.targets):
-        link = links.Link()
+        link = links.Link(client_of=cluster.entry_of_port)
         await link.start()
         target = Target(number, f"t{number}", link)
         cluster.targets.append(target)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -278,6 +278,21 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutEntries:
+    """Cuts entries off from all targets; callers, store and peers stay.
+
+    Attributes:
+        entries: Numbers of the entries.
+        mode: What becomes of their connections: `SILENT` or `RESET`.
+        seconds: How long they are cut off.
+    """
+
+    entries: tuple[int, ...]
+    mode: Mode
+    seconds: float
+
+
 Fault = (
     StopEntry
     | KillEntry
@@ -299,6 +314,7 @@
     | NameLimits
     | SayLeaving
     | AskPause
+    | CutEntries
 )
 
 
@@ -346,6 +362,8 @@
 # pause.
 LEAVING_SHARE = 0.4
 PAUSE_SHARE = 0.4
+# Share of plans in which some entries are cut off from all targets.
+CUT_SHARE = 0.4
 # Share of plans in which the store comes back from an older copy.
 RESTORE_SHARE = 0.3
 _PLANNED_OPERATIONS = (StopEntry, HangUp, DrainTarget, NewTable, Burst)
@@ -369,6 +387,7 @@
         *_draw_limits(seed, targets, seconds),
         *_draw_notices(seed, targets, seconds),
         *_draw_restore(seed, seconds),
+        *_draw_cut(seed, entries, seconds),
     )
     ordered = sorted(faults, key=lambda timed: timed[0])
     return Plan(seed, entries, targets, seconds, tuple(ordered))
@@ -479,3 +498,17 @@
         ]
     weights = [weight for weight, _ in faults]
     return rng.choices([fault for _, fault in faults], weights)[0]
+
+
+def _draw_cut(
+    seed: int, entries: int, seconds: float
+) -> list[tuple[float, Fault]]:
+    """Draw entries that are cut off, with a generator of its own as well."""
+    rng = random.Random(f"{seed}/cut")
+    if rng.random() >= CUT_SHARE:
+        return []
+    at = rng.uniform(0.0, seconds / 4)
+    chosen = rng.sample(range(entries), rng.randint(1, entries - 1))
+    mode = rng.choice((Mode.SILENT, Mode.RESET))
+    lasts = rng.uniform(seconds / 2, seconds - at)
+    return [(at, CutEntries(tuple(sorted(chosen)), mode, lasts))]
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -111,6 +111,8 @@
         case faults.AskPause():
             pause = str(fault.pause)
             await _hold_options(cluster, fault, "pause", pause, "")
+        case faults.CutEntries():
+            await _cut_entries(cluster, fault)
         case faults.Burst():
             cluster.rate_factor *= 4.0
             await curio.sleep(fault.seconds)
@@ -417,3 +419,18 @@
     await curio.sleep(fault.seconds)
     await link.set_mode(faults.Mode.PASS)
     cluster.add_fault_window(kind, fault.index, begin)
+
+
+async def _cut_entries(
+    cluster: cluster_lib.Cluster, fault: faults.CutEntries
+) -> None:
+    begin = time.time()
+    for target in cluster.targets:
+        for entry in fault.entries:
+            await target.link.cut_client(entry, fault.mode)
+    await curio.sleep(fault.seconds)
+    for target in cluster.targets:
+        for entry in fault.entries:
+            target.link.restore_client(entry)
+    for entry in fault.entries:
+        cluster.add_fault_window("cut", entry, begin)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -58,6 +58,13 @@
 # Time within which an entry that hasn't passed on that a target is leaving
 # knows it from the others.
 LEAVING_KNOWN_SECONDS = 5.0
+# From CUT_SETTLING_SECONDS after entries were cut off from all targets, they
+# serve at least MIN_CUT_SHARE of the share that the others serve, or fail at
+# most MAX_CUT_FAILURES and MAX_CUT_FAILURE_SHARE of all requests.
+CUT_SETTLING_SECONDS = 3.0
+MIN_CUT_SHARE = 2 / 3
+MAX_CUT_FAILURES = 10
+MAX_CUT_FAILURE_SHARE = 0.02
 # Share of requests that are served after the recovery.
 MIN_SERVED_SHARE = 0.9
 
@@ -86,6 +93,7 @@
         _sends_over_limits,
         _sends_to_leaving,
         _sends_in_pauses,
+        _unserved_at_cut_entries,
         _missing_recovery,
         _missing_retry_after,
     )
@@ -532,6 +540,49 @@
     return violations
 
 
+def _unserved_at_cut_entries(history: history_lib.History) -> list[str]:
+    """Find cut entries that serve far less than the others.
+
+    Requests at entries that were killed, stopped or paused, or whose other
+    links were broken, don't count.
+    """
+    windows = [w for w in history.fault_windows if w.kind == "cut"]
+    if not windows:
+        return []
+    begin = min(w.begin for w in windows) + CUT_SETTLING_SECONDS
+    end = min(w.end for w in windows)
+    cut = {w.index for w in windows}
+    calls = [
+        call
+        for call in history.calls
+        if begin <= call.sent_at <= end - call.timeout
+        and not call.disconnected
+        and CRASH_MARK not in call.path
+        and _version_of(call) is None
+        and not _is_fault_active(
+            history,
+            begin - CUT_SETTLING_SECONDS,
+            call.sent_at + call.timeout,
+            kinds=("entry", "stop", "link"),
+            index=call.entry,
+        )
+    ]
+    there = [call for call in calls if call.entry in cut]
+    elsewhere = [call for call in calls if call.entry not in cut]
+    served_there = sum(call.status == 200 for call in there)
+    served_elsewhere = sum(call.status == 200 for call in elsewhere)
+    failed = len(there) - served_there
+    allowed = MAX_CUT_FAILURES + MAX_CUT_FAILURE_SHARE * len(calls)
+    if not there or not elsewhere or failed <= allowed:
+        return []
+    share = served_there / len(there)
+    if share >= MIN_CUT_SHARE * served_elsewhere / len(elsewhere):
+        return []
+    counts = f"{served_there} of {len(there)}"
+    others = f"{served_elsewhere} of {len(elsewhere)}"
+    return [f"cut entries served {counts}, the others {others}"]
+
+
 def _missing_recovery(history: history_lib.History) -> list[str]:
     """Check the share of requests served once the last fault is over.
 
--- a/soak/links.py
+++ b/soak/links.py
@@ -4,6 +4,7 @@
 can be injected into a single link.
 """
 
+from collections import abc
 import dataclasses
 import socket
 import struct
@@ -37,6 +38,10 @@
         tasks: Tasks that serve connections.
         listener: The listening socket; None while connections are refused.
         acceptor: Task that accepts connections.
+        client_of: Returns the number of the entry that has a local port, if any
+            does; needed for `cut_clients` alone.
+        cut_clients: Modes of the entries that are cut off here, by number.
+        by_client: Entry of each open socket, if `client_of` is given.
         fillers: Connections that fill the listener's queue, so that the kernel
             answers no others.
     """
@@ -48,6 +53,11 @@
     tasks: set[curio.Task] = dataclasses.field(default_factory=set)
     listener: Any = None
     acceptor: curio.Task | None = None
+    client_of: abc.Callable[[int], int | None] | None = None
+    cut_clients: dict[int, faults.Mode] = dataclasses.field(
+        default_factory=dict
+    )
+    by_client: dict[Any, int] = dataclasses.field(default_factory=dict)
     fillers: list[socket.socket] = dataclasses.field(default_factory=list)
 
     async def start(self) -> None:
@@ -88,6 +98,18 @@
                 await self._stop_accepting()
                 await self._listen(int(self.address.rpartition(":")[2]))
 
+    async def cut_client(self, entry: int, mode: faults.Mode) -> None:
+        """Cut an entry off, also on its open connections."""
+        self.cut_clients[entry] = mode
+        if mode is faults.Mode.RESET:
+            for sock, client in list(self.by_client.items()):
+                if client == entry:
+                    await _reset(sock)
+
+    def restore_client(self, entry: int) -> None:
+        """End the cut of an entry."""
+        self.cut_clients.pop(entry, None)
+
     async def _stop_accepting(self) -> None:
         if self.acceptor is not None:
             await self.acceptor.cancel()
@@ -130,7 +152,8 @@
             self.tasks.discard(await curio.current_task())
 
     async def _proxy(self, sock: Any) -> None:
-        if self.mode is faults.Mode.RESET:
+        client = self._client(sock)
+        if faults.Mode.RESET in (self.mode, self.cut_clients.get(client)):
             await _reset(sock)
             return
         host, _, port = self.upstream.rpartition(":")
@@ -144,6 +167,7 @@
         for one in pair:
             one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sockets.update(pair)
+        self.by_client.update(dict.fromkeys(pair, client))
         try:
             async with curio.TaskGroup(wait=all) as group:
                 outbound = faults.Mode.CUT_THERE
@@ -152,29 +176,43 @@
                 await group.spawn(self._forward, upstream, sock, inbound)
         finally:
             self.sockets.difference_update(pair)
+            for one in pair:
+                self.by_client.pop(one, None)
             for one in pair:
                 await one.close()
 
+    def _client(self, sock: Any) -> int:
+        """Return the number of the entry that a socket leads to, or -1."""
+        if self.client_of is None:
+            return -1
+        try:
+            port = sock.getpeername()[1]
+        except OSError:
+            return -1
+        client = self.client_of(port)
+        return -1 if client is None else client
+
     async def _forward(
         self, source: Any, sink: Any, blocked: faults.Mode
     ) -> None:
         """Forward one direction, which the mode `blocked` holds."""
         try:
             while data := await source.recv(_CHUNK_BYTES):
-                await self._wait(blocked)
+                await self._wait(blocked, source)
                 await sink.sendall(data)
-            await self._wait(blocked)
+            await self._wait(blocked, source)
             await sink.shutdown(socket.SHUT_WR)
         except OSError:
             await _reset(source)
             await _reset(sink)
 
-    async def _wait(self, blocked: faults.Mode) -> None:
+    async def _wait(self, blocked: faults.Mode, sock: Any) -> None:
         """Wait for the delay of the mode, or until the mode lets data pass."""
+        client = self.by_client.get(sock, -1)
         if self.mode is faults.Mode.DELAY:
             await curio.sleep(_DELAY_SECONDS)
         held = (faults.Mode.SILENT, faults.Mode.DARK, blocked)
-        while self.mode in held:
+        while self.mode in held or self.cut_clients.get(client) in held:
             await curio.sleep(_POLL_SECONDS)
 
 
