Relay requests through entries that reach the targets

Callers saw: entries that are cut off from all targets, and from nothing else, served 0 of 203 and 2 of 77 first tries while the others served nearly all.

Cause: an entry sends to targets itself or not at all. What it couldn't send it held to the deadline (silent cuts) or failed (resets), though entries beside it reach every target. It also reported each connect failure to the owner, which barred healthy targets for everybody, and as a sampler that no target answers. Class of fault: one observer's lost link is taken for the target's failure, and work is tied to the entry that took it.

Now core/reach tells the two apart: when a target isn't reached, or requests stay without any answer, three others of the service are probed over new connections; if none answers, this entry is cut off from that service. Its requests then go over a relay, an entry of two drawn at random, to the same target, under the same grant. What could not be sent directly goes there at once, also before a cut is known. The entry that took the call keeps it: retries, budgets and verdicts; the relay sends once, to that target alone, after the checks that each send passes (leaving, pause, withheld requests), and looks for crashes. Its refusals say whether the request may have run. Entries that are cut tell the others, relay for nobody, and sample for nobody. The way back is tried each half second; two targets that answer, or one direct answer, end the cut.

Relays are plain HTTP on an address of their own (peers.relay), so that streaming, cancelling and memory limits are those of callers. Connections to targets are given up after 0.4 s instead of 1 s, as there is a way round now. target_source binds them to an address; the soak's links tell entries by it.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -23,7 +23,6 @@
 from soak import history as history_lib
 from soak import invariants
 from soak import links
-from soak import sockets
 
 DOMAINS = ("boston", "hartford")
 GRACE_SECONDS = 4.0
@@ -137,14 +136,6 @@
         counts: dict[str, int] = json.loads(body)
         return sum(counts.get(kind, 0) for kind in ("get", "range", "watch"))
 
-    def entry_of_port(self, port: int) -> int | None:
-        """Return the number of the entry with a local TCP port, if any."""
-        inode = sockets.inode_of_port(port)
-        for entry in self.entries:
-            if inode and sockets.has_socket(entry.process_id, inode):
-                return entry.number
-        return None
-
     def add_fault_window(self, kind: str, index: int, begin: float) -> None:
         """Record a fault that ends now."""
         end = time.time()
@@ -272,7 +263,7 @@
     cluster.ledger_path.touch()
     cluster.write_table()
     for number in range(plan.targets):
-        link = links.Link(client_of=cluster.entry_of_port)
+        link = links.Link()
         await link.start()
         target = Target(number, f"t{number}", link)
         cluster.targets.append(target)
@@ -305,9 +296,11 @@
         "readiness": {"address": f"127.0.0.1:{system.free_port()}"},
         "metrics": {"address": f"127.0.0.1:{system.free_port()}"},
         "platform": {"store": store_link.address},
+        "target_source": links.source_of(number),
         "peers": {
             "listen": {"address": f"127.0.0.1:{port}"},
             "advertised": peer_link.address,
+            "relay": {"address": f"127.0.0.1:{system.free_port()}"},
             "seeds": seeds,
         },
         "routes": {
--- a/soak/links.py
+++ b/soak/links.py
@@ -4,7 +4,6 @@
 can be injected into a single link.
 """
 
-from collections import abc
 import dataclasses
 import socket
 import struct
@@ -38,10 +37,8 @@
         tasks: Tasks that serve connections.
         listener: The listening socket; None while connections are refused.
         acceptor: Task that accepts connections.
-        client_of: Returns the number of the entry that has a local port, if any
-            does; needed for `cut_clients` alone.
-        cut_clients: Modes of the entries that are cut off here, by number.
-        by_client: Entry of each open socket, if `client_of` is given.
+        cut_sources: Modes of the clients that are cut off here, by IP address.
+        sources: IP address of the client of each open socket.
         fillers: Connections that fill the listener's queue, so that the kernel
             answers no others.
     """
@@ -53,11 +50,10 @@
     tasks: set[curio.Task] = dataclasses.field(default_factory=set)
     listener: Any = None
     acceptor: curio.Task | None = None
-    client_of: abc.Callable[[int], int | None] | None = None
-    cut_clients: dict[int, faults.Mode] = dataclasses.field(
+    cut_sources: dict[str, faults.Mode] = dataclasses.field(
         default_factory=dict
     )
-    by_client: dict[Any, int] = dataclasses.field(default_factory=dict)
+    sources: dict[Any, str] = dataclasses.field(default_factory=dict)
     fillers: list[socket.socket] = dataclasses.field(default_factory=list)
 
     async def start(self) -> None:
@@ -100,15 +96,15 @@
 
     async def cut_client(self, entry: int, mode: faults.Mode) -> None:
         """Cut an entry off, also on its open connections."""
-        self.cut_clients[entry] = mode
+        self.cut_sources[source_of(entry)] = mode
         if mode is faults.Mode.RESET:
-            for sock, client in list(self.by_client.items()):
-                if client == entry:
+            for sock in list(self.sources):
+                if self._mode_of(sock) is mode:
                     await _reset(sock)
 
     def restore_client(self, entry: int) -> None:
         """End the cut of an entry."""
-        self.cut_clients.pop(entry, None)
+        self.cut_sources.pop(source_of(entry), None)
 
     async def _stop_accepting(self) -> None:
         if self.acceptor is not None:
@@ -141,19 +137,21 @@
 
     async def _accept(self, listener: Any) -> None:
         while True:
-            sock, _ = await listener.accept()
-            task = await curio.spawn(self._serve, sock, daemon=True)
+            sock, address = await listener.accept()
+            task = await curio.spawn(self._serve, sock, address[0], daemon=True)
             self.tasks.add(task)
 
-    async def _serve(self, sock: Any) -> None:
+    async def _serve(self, sock: Any, source: str) -> None:
         try:
-            await self._proxy(sock)
+            await self._proxy(sock, source)
         finally:
             self.tasks.discard(await curio.current_task())
 
-    async def _proxy(self, sock: Any) -> None:
-        client = self._client(sock)
-        if faults.Mode.RESET in (self.mode, self.cut_clients.get(client)):
+    async def _proxy(self, sock: Any, source: str) -> None:
+        if faults.Mode.RESET in (
+            self.mode,
+            self.cut_sources.get(source, faults.Mode.PASS),
+        ):
             await _reset(sock)
             return
         host, _, port = self.upstream.rpartition(":")
@@ -167,7 +165,7 @@
         for one in pair:
             one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sockets.update(pair)
-        self.by_client.update(dict.fromkeys(pair, client))
+        self.sources.update(dict.fromkeys(pair, source))
         try:
             async with curio.TaskGroup(wait=all) as group:
                 outbound = faults.Mode.CUT_THERE
@@ -177,20 +175,14 @@
         finally:
             self.sockets.difference_update(pair)
             for one in pair:
-                self.by_client.pop(one, None)
+                self.sources.pop(one, None)
             for one in pair:
                 await one.close()
 
-    def _client(self, sock: Any) -> int:
-        """Return the number of the entry that a socket leads to, or -1."""
-        if self.client_of is None:
-            return -1
-        try:
-            port = sock.getpeername()[1]
-        except OSError:
-            return -1
-        client = self.client_of(port)
-        return -1 if client is None else client
+    def _mode_of(self, sock: Any) -> faults.Mode:
+        """Return what becomes of a socket's traffic, by its client alone."""
+        source = self.sources.get(sock, "")
+        return self.cut_sources.get(source, faults.Mode.PASS)
 
     async def _forward(
         self, source: Any, sink: Any, blocked: faults.Mode
@@ -208,14 +200,18 @@
 
     async def _wait(self, blocked: faults.Mode, sock: Any) -> None:
         """Wait for the delay of the mode, or until the mode lets data pass."""
-        client = self.by_client.get(sock, -1)
         if self.mode is faults.Mode.DELAY:
             await curio.sleep(_DELAY_SECONDS)
         held = (faults.Mode.SILENT, faults.Mode.DARK, blocked)
-        while self.mode in held or self.cut_clients.get(client) in held:
+        while self.mode in held or self._mode_of(sock) in held:
             await curio.sleep(_POLL_SECONDS)
 
 
+def source_of(entry: int) -> str:
+    """Return the address that an entry opens connections to targets from."""
+    return f"127.0.2.{entry + 1}"
+
+
 async def _reset(sock: Any) -> None:
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
--- a/src/agateshelf/const.py
+++ b/src/agateshelf/const.py
@@ -16,6 +16,8 @@
 HEADER_TIMEOUT_MS: Final = "request-timeout-ms"
 HEADER_TARGET_LOAD: Final = "target-load"
 HEADER_TARGET_STATE: Final = "target-state"
+# Names the target of a request that another entry sends on.
+HEADER_RELAY_TARGET: Final = "agateshelf-relay-target"
 HEADER_TRACEPARENT: Final = "traceparent"
 
 STATE_DRAINING: Final = "draining"
--- a/src/agateshelf/core/dispatch/sampling.py
+++ b/src/agateshelf/core/dispatch/sampling.py
@@ -19,6 +19,7 @@
 from agateshelf.core.dispatch import models
 from agateshelf.core.dispatch import owners
 from agateshelf.core.dispatch import pools
+from agateshelf.core.reach import detection
 from agateshelf.core.target_notices import gate
 from agateshelf.core.target_notices import records as notice_records
 
@@ -139,6 +140,8 @@
         if event.target not in sampler.probing:
             continue
         sampler.probing.discard(event.target)
+        if _is_cut(state, sampler):
+            continue
         sampler.loads.append(_load_of(event))
         notice = notice_records.statement_of(state, now, event.target)
         if event.leaving and notice is not None:
@@ -147,6 +150,11 @@
     return emitted
 
 
+def _is_cut(state: core_state.State, sampler: models.Sampler) -> bool:
+    """Return whether this entry's own links are why targets don't answer."""
+    return detection.is_cut(state, pools.service_of(sampler.pool))
+
+
 def _load_of(event: events.TargetProbed) -> messages.TargetLoad:
     if event.load is None:
         return messages.TargetLoad(event.target, None, 0.0)
@@ -174,6 +182,10 @@
     if sampler is None:
         return []
     sampler.report_scheduled = False
+    if _is_cut(state, sampler):
+        # Without a report owners replace this sampler.
+        sampler.loads.clear()
+        return []
     report = messages.LoadReport(
         *key, tuple(sampler.loads), tuple(sampler.notices)
     )
--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -30,6 +30,8 @@
             before use.
         no_retry: Whether downstream hops must not retry.
         not_after: Time after which no byte of the request may be sent.
+        relay: `HOST:PORT` of the entry that sends it on to the target; empty
+            to send it from here.
     """
 
     call: int
@@ -40,6 +42,7 @@
     fresh: bool
     no_retry: bool
     not_after: float = float("inf")
+    relay: str = ""
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
@@ -243,6 +246,7 @@
         address: `HOST:PORT` of the target.
         path: Path of its health check.
         timeout: Seconds after which it counts as unanswered.
+        fresh: Whether to open a connection for it, to see whether that works.
     """
 
     service: str
@@ -250,6 +254,7 @@
     address: str
     path: str
     timeout: float
+    fresh: bool = False
 
 
 class CloseProbeConnections(msgspec.Struct, frozen=True):
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -16,6 +16,7 @@
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.peers import models as peer_models
 from agateshelf.core.poison import models as poison_models
+from agateshelf.core.reach import models as reach_models
 from agateshelf.core.target_notices import models as notice_models
 
 # Imported for types only: an entry that follows routes doesn't load the modules
@@ -41,6 +42,9 @@
         body_digest: Digest of the body, to compare repeated requests.
         host: Host of the request.
         request_id: The caller's identifier of the request, for logs.
+        relay_target: Identifier of the target that another entry was granted
+            for the request, which it can't reach itself; empty for a request
+            of a caller.
     """
 
     call: int
@@ -53,6 +57,7 @@
     body_digest: bytes = b""
     host: str = ""
     request_id: str = ""
+    relay_target: str = ""
 
 
 class CallerDisconnected(msgspec.Struct, frozen=True):
@@ -350,6 +355,8 @@
             services for this entry.
         has_feed: Whether this entry follows routes and registrations.
         unix_time: Unix time of the event in seconds.
+        relay_address: `HOST:PORT` at which this entry relays requests of other
+            entries; empty if it doesn't.
     """
 
     incarnation: int
@@ -358,6 +365,7 @@
     has_store: bool = True
     has_feed: bool = False
     unix_time: float = 0.0
+    relay_address: str = ""
 
 
 class PeerVersionReported(msgspec.Struct, frozen=True):
@@ -476,12 +484,26 @@
         target: Identifier of the target.
         load: Load that it reported; None if it did not answer.
         leaving: Whether it said that it is leaving.
+        reached: Whether it answered, whatever it said.
     """
 
     service: str
     target: str
     load: TargetLoad | None
     leaving: bool = False
+    reached: bool = False
+
+
+class ReachJudged(msgspec.Struct, frozen=True):
+    """Probes have told whether targets or this entry's links fail (internal).
+
+    Attributes:
+        service: Service of the targets.
+        is_cut: Whether this entry reaches none of them.
+    """
+
+    service: str
+    is_cut: bool
 
 
 class DispatchDecided(msgspec.Struct, frozen=True):
@@ -615,6 +637,9 @@
     | RoutesAdopted
     | TargetsChanged
     | TargetProbed
+    | ReachJudged
+    | reach_models.SilenceDue
+    | reach_models.RecheckDue
     | DispatchDecided
     | feed_models.FeedDue
     | feed_models.ReaderResigned
--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -16,12 +16,32 @@
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import verdicts
 from agateshelf.core.poison import sends
+from agateshelf.core.reach import const as reach_const
+from agateshelf.core.reach import detection
+from agateshelf.core.reach import relays
 from agateshelf.core.target_notices import records as notice_records
 from agateshelf.core.target_notices import spreading
 
 Effects = list[effects.Effect]
 Verdict = outcome_models.Verdict
 
+# Ends of attempts that a lost link of this entry may have caused.
+_DOUBTFUL_KINDS = frozenset(
+    {
+        outcome_models.FailureKind.CONNECT,
+        outcome_models.FailureKind.WRITE_CUT,
+        outcome_models.FailureKind.RESET,
+    }
+)
+# Ends of attempts of which nothing was sent for want of a way to the target.
+_REROUTED_KINDS = frozenset(
+    {
+        outcome_models.FailureKind.CONNECT,
+        outcome_models.FailureKind.CANCELLED,
+        outcome_models.FailureKind.RELAY,
+    }
+)
+
 
 def on_answer(
     state: core_state.State, now: float, event: events.AttemptAnswered
@@ -36,6 +56,8 @@
         attempt.queued = event.load.queued
         attempt.slowness = event.load.slowness
     emitted = _record_notice(state, now, attempt, event)
+    if not attempt.relay:
+        emitted.extend(detection.on_answered(state, now, call.service, attempt))
     if event.streaming:
         return [*emitted, *_deliver_stream(state, now, call, attempt)]
     ending = _ending_of(event)
@@ -53,6 +75,8 @@
             misdirected=event.misdirected,
         )
     )
+    if call.relayed_for:
+        return [*emitted, *_deliver(state, now, call, event.attempt)]
     if event.not_run:
         return [*emitted, *_on_not_run(state, now, call)]
     failed = event.status >= const.FIRST_SERVER_ERROR
@@ -63,12 +87,20 @@
     if event.status in const.NOT_RUN_STATUSES:
         refusal = refusals.target_failed(call)
         return [*emitted, *lifecycle.give_up(state, now, call, refusal)]
+    return [*emitted, *_deliver(state, now, call, event.attempt)]
+
+
+def _deliver(
+    state: core_state.State, now: float, call: models.Call, attempt: int
+) -> Effects:
+    """Deliver an answer, and cancel the other attempts."""
     for number in call.attempts:
         sends.forget(state, number)
-    emitted.extend(lifecycle.cancel_attempts(state, now, call))
-    emitted.append(effects.DeliverAnswer(call.number, event.attempt))
-    emitted.extend(lifecycle.end_call(state, call))
-    return emitted
+    return [
+        *lifecycle.cancel_attempts(state, now, call),
+        effects.DeliverAnswer(call.number, attempt),
+        *lifecycle.end_call(state, call),
+    ]
 
 
 def _record_notice(
@@ -156,7 +188,7 @@
 
 def may_retry(now: float, call: models.Call) -> bool:
     """Return whether a retry can't run the request twice and is worthwhile."""
-    if call.dispatch_number is not None or call.attempts:
+    if call.dispatch_number is not None or call.attempts or call.relayed_for:
         return False
     if call.attempt_count >= call.route.max_attempts:
         return False
@@ -207,6 +239,125 @@
     state: core_state.State, now: float, event: events.AttemptFailed
 ) -> Effects:
     """Record a failed attempt; retry only if that can't run it twice."""
+    attempt = state.forwarding.attempts.get(event.attempt)
+    if attempt is not None:
+        reach_effects = _record_reach(state, now, attempt, event)
+        rerouted = _reroute(state, now, attempt, event)
+        if rerouted is not None:
+            return [*reach_effects, *rerouted]
+        return [*reach_effects, *_end_failed(state, now, event)]
+    return []
+
+
+def _record_reach(
+    state: core_state.State,
+    now: float,
+    attempt: models.Attempt,
+    event: events.AttemptFailed,
+) -> Effects:
+    """Record what a failure says of this entry's links and of relays."""
+    if event.kind is outcome_models.FailureKind.RELAY:
+        relays.avoid(state, now, attempt.relay)
+    if event.kind not in _DOUBTFUL_KINDS or attempt.relay:
+        return []
+    service = state.forwarding.calls[attempt.call].service
+    return detection.on_unreached(state, now, service, attempt.target)
+
+
+def _reroute(
+    state: core_state.State,
+    now: float,
+    attempt: models.Attempt,
+    event: events.AttemptFailed,
+) -> Effects | None:
+    """Have an attempt relayed of which nothing was sent, under its grant.
+
+    Returns:
+        None if that isn't possible, so that the attempt has failed.
+    """
+    call = state.forwarding.calls[attempt.call]
+    registration = state.directory.targets.get(attempt.target)
+    is_unsent = event.kind in _REROUTED_KINDS and not event.any_byte_sent
+    if not is_unsent or call.relayed_for or registration is None:
+        return None
+    if attempt.relay and event.kind is outcome_models.FailureKind.CONNECT:
+        # The relay doesn't reach the target either, so the target is down.
+        return None
+    if len(attempt.relays_tried) >= reach_const.MAX_RELAYS_TRIED:
+        return None
+    if call.deadline - now < const.MIN_ATTEMPT_SECONDS:
+        return None
+    relay = relays.choose(state, now, call.service, attempt.relays_tried)
+    if relay is None:
+        return None
+    emitted = sends.on_failed(state, now, event)
+    del state.forwarding.attempts[attempt.number]
+    call.attempts.discard(attempt.number)
+    if attempt.relay:
+        relays.on_ended(state, attempt.relay)
+    state.forwarding.last_attempt += 1
+    attempt.number = state.forwarding.last_attempt
+    lifecycle.use_relay(state, attempt, relay)
+    state.forwarding.attempts[attempt.number] = attempt
+    call.attempts.add(attempt.number)
+    details = (
+        ("attempt", attempt.number),
+        ("target", attempt.target),
+        ("relay", relay),
+        ("after", event.kind.value),
+    )
+    return [
+        *emitted,
+        effects.LogEvent("attempt.rerouted", call.request_id, details),
+        lifecycle.start_effect(state, now, call, attempt, registration),
+    ]
+
+
+def on_reach_judged(
+    state: core_state.State, now: float, event: events.ReachJudged
+) -> Effects:
+    """Move the attempts on that a cut leaves without an answer.
+
+    Those of which nothing was sent are cancelled, and then relayed. Idempotent
+    requests are tried again. The answer to any other may still come.
+    """
+    if not event.is_cut:
+        return []
+    if relays.choose(state, now, event.service, set()) is None:
+        return []
+    emitted: Effects = []
+    for attempt in list(state.forwarding.attempts.values()):
+        call = state.forwarding.calls[attempt.call]
+        if attempt.relay or call.service != event.service:
+            continue
+        emitted.append(effects.AbortUnsentAttempts(attempt.target))
+        if not call.route.idempotent or call.attempts != {attempt.number}:
+            continue
+        if attempt.number in state.forwarding.streaming or call.relayed_for:
+            continue
+        emitted.extend(_retry_elsewhere(state, now, call))
+    return emitted
+
+
+def _retry_elsewhere(
+    state: core_state.State, now: float, call: models.Call
+) -> Effects:
+    """Cancel the attempts of a call and try again, if it may be retried."""
+    attempts = set(call.attempts)
+    call.attempts.clear()
+    is_allowed = may_retry(now, call)
+    call.attempts |= attempts
+    if not is_allowed:
+        return []
+    return [
+        *lifecycle.cancel_attempts(state, now, call),
+        *requester.request_dispatch(state, now, call),
+    ]
+
+
+def _end_failed(
+    state: core_state.State, now: float, event: events.AttemptFailed
+) -> Effects:
     ended = lifecycle.end_attempt(
         state, now, event.attempt, _ending_of_failure(event)
     )
@@ -252,7 +403,10 @@
     neutral as well.
     """
     match event.kind:
-        case outcome_models.FailureKind.CANCELLED:
+        case (
+            outcome_models.FailureKind.CANCELLED
+            | outcome_models.FailureKind.RELAY
+        ):
             return dispatch_models.Ending.NEUTRAL
         case outcome_models.FailureKind.CONNECT:
             return dispatch_models.Ending.UNREACHABLE
--- a/src/agateshelf/core/forwarding/lifecycle.py
+++ b/src/agateshelf/core/forwarding/lifecycle.py
@@ -19,6 +19,9 @@
 from agateshelf.core.poison import persistence
 from agateshelf.core.poison import refusals as poison_refusals
 from agateshelf.core.poison import sends
+from agateshelf.core.reach import detection
+from agateshelf.core.reach import relays
+from agateshelf.core.reach import serving
 from agateshelf.core.routes import matching
 from agateshelf.core.routes import models as route_models
 from agateshelf.core.routes import splitting
@@ -46,6 +49,8 @@
     if poisonous is not None:
         inputs = ("fingerprint", fingerprints.short(fingerprint))
         return _refuse_early(state, event, poisonous, inputs)
+    if event.relay_target:
+        return _on_relayed_request(state, now, event, route, fingerprint)
     call = _create_call(state, now, event, route, fingerprint)
     state.forwarding.calls[call.number] = call
     timers.schedule(
@@ -54,6 +59,37 @@
     return requester.request_dispatch(state, now, call)
 
 
+def _on_relayed_request(
+    state: core_state.State,
+    now: float,
+    event: events.RequestArrived,
+    route: route_models.Route,
+    fingerprint: bytes,
+) -> Effects:
+    """Send a request of another entry's caller to the target it names."""
+    target = serving.find_target(state, now, event)
+    if isinstance(target, outcome_models.Refusal):
+        return _refuse_early(state, event, target)
+    call = _create_call(state, now, event, route, fingerprint)
+    call.service = target.service
+    call.relayed_for = event.caller
+    refusal = sends.start(
+        state,
+        now,
+        _send_of(call, target, state.forwarding.last_attempt + 1, now),
+        outcome_models.Outcome.NOT_RUN,
+    )
+    if refusal is not None:
+        return _refuse_early(state, event, refusal)
+    state.forwarding.calls[call.number] = call
+    state.reach.relayed += 1
+    timers.schedule(
+        state.timers, call.deadline, events.DeadlinePassed(call.number)
+    )
+    granted = events.DispatchDecided(call.number, 0, "", target.id)
+    return _start_attempt(state, now, call, target, granted)
+
+
 def fingerprint_of(event: events.RequestArrived) -> bytes:
     """Return the digest by which repeats of a request are recognised.
 
@@ -219,20 +255,18 @@
         owner=event.owner,
         dispatch_number=event.dispatch_number,
     )
+    if detection.is_cut(state, call.service):
+        relay = relays.choose(state, now, call.service, set())
+        if relay is not None:
+            use_relay(state, attempt, relay)
+        elif detection.tries_directly(state, call.service):
+            return _refuse_cut_off(state, now, call, event, attempt)
     state.forwarding.attempts[attempt.number] = attempt
     call.attempts.add(attempt.number)
     call.tried.add(registration.id)
     call.attempt_count += 1
     return [
-        effects.StartAttempt(
-            call=call.number,
-            attempt=attempt.number,
-            target=registration.id,
-            address=registration.address,
-            timeout=call.deadline - now,
-            fresh=not call.route.idempotent,
-            no_retry=False,
-        ),
+        start_effect(state, now, call, attempt, registration),
         effects.LogEvent(
             "attempt.started",
             call.request_id,
@@ -241,6 +275,8 @@
                 ("service", call.service),
                 ("target", registration.id),
                 ("home", event.owner),
+                ("relay", attempt.relay),
+                ("relayed_for", call.relayed_for),
                 ("send", call.attempt_count),
                 ("waited_ms", _milliseconds(now - call.arrived)),
                 ("aim_left_ms", _milliseconds(call.soft_deadline - now)),
@@ -251,6 +287,54 @@
     ]
 
 
+def start_effect(
+    state: core_state.State,
+    now: float,
+    call: models.Call,
+    attempt: models.Attempt,
+    registration: directory_models.Registration,
+) -> effects.StartAttempt:
+    """Return the effect that starts an attempt, from here or by a relay."""
+    relay = relays.address_of(state, attempt.relay) if attempt.relay else ""
+    if not relay:
+        detection.watch_silence(state, now, call.service)
+    return effects.StartAttempt(
+        call=call.number,
+        attempt=attempt.number,
+        target=registration.id,
+        address=registration.address,
+        timeout=call.deadline - now,
+        fresh=not call.route.idempotent,
+        no_retry=False,
+        relay=relay,
+    )
+
+
+def use_relay(
+    state: core_state.State, attempt: models.Attempt, relay: str
+) -> None:
+    """Give an attempt to a relay, which looks for crashes of its target."""
+    attempt.relay = relay
+    attempt.relays_tried.add(relay)
+    relays.on_started(state, relay)
+    sends.forget(state, attempt.number)
+
+
+def _refuse_cut_off(
+    state: core_state.State,
+    now: float,
+    call: models.Call,
+    event: events.DispatchDecided,
+    attempt: models.Attempt,
+) -> Effects:
+    """Refuse a granted call at once that nobody can send."""
+    sends.forget(state, attempt.number)
+    emitted = _release_grant(state, event, dispatch_models.Ending.NEUTRAL)
+    if call.attempts:
+        return emitted
+    return [*emitted, *give_up(state, now, call, refusals.cut_off(call))]
+
+
 def _send_of(
     call: models.Call,
     registration: directory_models.Registration,
@@ -332,6 +416,10 @@
         return None
     call = state.forwarding.calls[attempt.call]
     call.attempts.discard(number)
+    if attempt.relay:
+        relays.on_ended(state, attempt.relay)
+    if call.relayed_for:
+        return call, attempt, []
     ended = dispatch_messages.DispatchEnded(
         number=attempt.dispatch_number,
         ending=ending,
@@ -393,6 +481,8 @@
 def end_call(state: core_state.State, call: models.Call) -> Effects:
     """Remove a call whose response is decided."""
     del state.forwarding.calls[call.number]
+    if call.relayed_for:
+        state.reach.relayed -= 1
     emitted = requester.cancel_request(state, call.dispatch_number)
     return [*emitted, *exit_if_idle(state)]
 
--- a/src/agateshelf/core/forwarding/models.py
+++ b/src/agateshelf/core/forwarding/models.py
@@ -25,6 +25,8 @@
         slowness: Ratio of the target's current processing time to its usual
             one.
         notice: What its target said of itself, for the owner.
+        relay: The entry that sends it on; empty if this one sends it.
+        relays_tried: Entries that were to send it on.
     """
 
     number: int
@@ -37,6 +39,8 @@
     queued: int = 0
     slowness: float = 1.0
     notice: notice_models.Notice | None = None
+    relay: str = ""
+    relays_tried: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +67,8 @@
             the request was sent.
         declined_grants: Grants that were turned down, as the owner didn't
             know what their target had said of itself.
+        relayed_for: Address of the entry that has the call and relays it
+            through this one; empty for a call of a caller.
     """
 
     number: int
@@ -81,6 +87,7 @@
     verdict: outcome_models.Verdict = outcome_models.Verdict.DID_NOT_RUN
     lost_connections: int = 0
     declined_grants: int = 0
+    relayed_for: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/agateshelf/core/forwarding/refusals.py
+++ b/src/agateshelf/core/forwarding/refusals.py
@@ -6,6 +6,7 @@
 from agateshelf.core.outcomes import const as outcome_const
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.outcomes import verdicts
+from agateshelf.core.reach import const as reach_const
 from agateshelf.core.target_notices import models as notice_models
 
 _NOT_RUN = outcome_models.Outcome.NOT_RUN
@@ -95,6 +96,16 @@
     return _refusal(call, reason, detail, retry_after)
 
 
+def cut_off(call: models.Call) -> outcome_models.Refusal:
+    """Return the refusal of a call whose targets no known entry reaches."""
+    return _refusal(
+        call,
+        reach_const.REASON_CUT_OFF,
+        "This entry is cut off from the targets, and no other can relay.",
+        reach_const.RETRY_AFTER_SECONDS,
+    )
+
+
 def target_failed(call: models.Call) -> outcome_models.Refusal:
     """Return the refusal of a call whose last attempt failed."""
     return _refusal(
--- a/src/agateshelf/core/membership/handling.py
+++ b/src/agateshelf/core/membership/handling.py
@@ -31,6 +31,7 @@
         event.address,
         state.identity.failure_domain,
         state.identity.capacity,
+        event.relay_address,
     )
     gossip.queue_update(state, state.identity.entry)
     for seed in event.seeds:
--- a/src/agateshelf/core/membership/models.py
+++ b/src/agateshelf/core/membership/models.py
@@ -41,6 +41,8 @@
         address: `HOST:PORT` at which other entries reach it.
         failure_domain: Failure domain that it runs in.
         capacity: Processing capacity in units of a typical core.
+        relay: `HOST:PORT` at which it relays requests of other entries; empty
+            if it doesn't.
     """
 
     entry: str
@@ -49,6 +51,7 @@
     address: str
     failure_domain: str
     capacity: float = 1.0
+    relay: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agateshelf/core/outcomes/models.py
+++ b/src/agateshelf/core/outcomes/models.py
@@ -16,7 +16,10 @@
 
 
 class FailureKind(enum.Enum):
-    """How an attempt ended without a complete response."""
+    """How an attempt ended without a complete response.
+
+    `RELAY` means that the entry which was to relay it did not.
+    """
 
     CONNECT = "connect"
     UNSENT = "unsent"
@@ -26,6 +29,7 @@
     BAD_ANSWER = "bad-answer"
     ANSWER_CUT = "answer-cut"
     CANCELLED = "cancelled"
+    RELAY = "relay"
 
 
 class Outcome(enum.Enum):
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -17,6 +17,9 @@
 from agateshelf.core.forwarding import lifecycle
 from agateshelf.core.poison import evidence
 from agateshelf.core.poison import persistence
+from agateshelf.core.reach import detection
+from agateshelf.core.reach import models as reach_models
+from agateshelf.core.reach import relays
 from agateshelf.core.target_notices import records as notice_records
 from agateshelf.core.target_notices import spreading
 
@@ -33,7 +36,10 @@
         case events.DispatchDecided():
             return lifecycle.on_dispatch_decided(state, now, event)
         case events.TargetProbed():
-            return sampling.on_probed(state, now, event)
+            return [
+                *detection.on_probed(state, now, event),
+                *sampling.on_probed(state, now, event),
+            ]
         case events.AttemptAnswered():
             return completion.on_answer(state, now, event)
         case events.AttemptFailed():
@@ -89,6 +95,12 @@
             return persistence.on_store_restored(state, now)
         case events.StoreAnswered():
             return _on_store_answer(state, now, event)
+        case reach_models.SilenceDue():
+            return detection.on_silence_due(state, now, event)
+        case reach_models.RecheckDue():
+            return detection.on_recheck_due(state, now, event)
+        case events.ReachJudged():
+            return completion.on_reach_judged(state, now, event)
         case feed_models.WatchResumeDue():
             return reading.on_watch_resume_due(state, event)
         case feed_models.ReaderResigned():
@@ -106,6 +118,7 @@
             ]
         case events.LiveEntriesChanged():
             owners.clear_rankings(state)
+            relays.on_entries(state)
             return [
                 *spreading.on_entries(state, now),
                 *dispatchers.on_entries(state, now),
@@ -141,6 +154,7 @@
         requester.on_message,
         relaying.on_message,
         spreading.on_message,
+        relays.on_message,
     ):
         emitted = handle(state, now, event.peer, event.message)
         if emitted is not None:
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -14,6 +14,7 @@
 from agateshelf.core.forwarding import models as forwarding_models
 from agateshelf.core.membership import models as membership_models
 from agateshelf.core.poison import models as poison_models
+from agateshelf.core.reach import models as reach_models
 from agateshelf.core.routes import models as route_models
 from agateshelf.core.target_notices import models as notice_models
 
@@ -87,6 +88,9 @@
     target_notices: notice_models.NoticesState = dataclasses.field(
         default_factory=notice_models.NoticesState
     )
+    reach: reach_models.ReachState = dataclasses.field(
+        default_factory=reach_models.ReachState
+    )
     forwarding: forwarding_models.ForwardingState = dataclasses.field(
         default_factory=forwarding_models.ForwardingState
     )
--- a/src/agateshelf/daemon/callers/arrivals.py
+++ b/src/agateshelf/daemon/callers/arrivals.py
@@ -9,6 +9,7 @@
 
 _CALLER = const.HEADER_CALLER.encode()
 _IDEMPOTENCY_KEY = const.HEADER_IDEMPOTENCY_KEY.encode()
+_RELAY_TARGET = const.HEADER_RELAY_TARGET.encode()
 _NO_RETRY = const.HEADER_NO_RETRY.encode()
 _EMPTY_DIGEST = hashlib.sha256(b"").digest()
 _MAX_TIMEOUT_DIGITS = 9
@@ -18,14 +19,24 @@
     call: int,
     request: messages.Request,
     dialect: daemon_dialect.Dialect = daemon_dialect.DEFAULT,
+    *,
+    is_relayed: bool = False,
 ) -> events.RequestArrived:
-    """Return the event for a completely read request."""
+    """Return the event for a completely read request.
+
+    Args:
+        call: Number of the call.
+        request: The request.
+        dialect: Names of the headers.
+        is_relayed: Whether another entry sent it, for a target that it names.
+    """
     caller = b""
     key: bytes | None = None
     no_retry = False
     timeout: float | None = None
     host = b""
     request_id = b""
+    relay_target = b""
     for name, value in request.headers:
         if name == _CALLER:
             caller = value
@@ -39,6 +50,8 @@
             host = value
         elif name == dialect.request_id:
             request_id = value
+        elif name == _RELAY_TARGET and is_relayed:
+            relay_target = value
     return events.RequestArrived(
         call=call,
         caller=(caller or _peer_address(request, dialect)).decode("latin-1"),
@@ -50,6 +63,7 @@
         body_digest=_digest(request.body),
         host=host.decode("latin-1"),
         request_id=request_id.decode("latin-1"),
+        relay_target=relay_target.decode("latin-1"),
     )
 
 
--- a/src/agateshelf/daemon/callers/server.py
+++ b/src/agateshelf/daemon/callers/server.py
@@ -7,6 +7,7 @@
 import h11
 import msgspec
 
+from agateshelf import const as agateshelf_const
 from agateshelf.core import events
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.routes import models as route_models
@@ -25,6 +26,7 @@
 from agateshelf.daemon.targets import answers
 from agateshelf.documents import settings
 
+_RELAY_TARGET = agateshelf_const.HEADER_RELAY_TARGET.encode()
 _CONNECTION_ERRORS = (
     OSError,
     h11.RemoteProtocolError,
@@ -46,6 +48,7 @@
         stopping: Whether connections are closed after their current request.
         accepts_new: Whether new connections may still send a first request
             while the server is stopping.
+        is_relay: Whether it serves other entries, whose requests name a target.
     """
 
     driver: daemon_driver.Driver
@@ -55,6 +58,7 @@
     refusing: int = 0
     stopping: bool = False
     accepts_new: bool = True
+    is_relay: bool = False
 
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
         """Serve a connection until it is closed."""
@@ -119,6 +123,8 @@
             conn.limits = self.limits
             try:
                 request = await reading.read_request(conn)
+                if request is not None and self.is_relay:
+                    _check_relay_target(request)
             except reading.BadRequestError as exc:
                 await self._reject(conn, exc)
                 return
@@ -211,7 +217,10 @@
         driver = self.driver
         exchange.accepts_attempt = True
         arrived = arrivals.event_of(
-            call, exchange.request, driver.targets.dialect
+            call,
+            exchange.request,
+            driver.targets.dialect,
+            is_relayed=self.is_relay,
         )
         await driver.post(arrived)
         while (running := exchange.take_offered()) is not None:
@@ -269,12 +278,29 @@
             )
 
 
+def _check_relay_target(request: messages.Request) -> None:
+    """Check that a request to relay names its target.
+
+    Raises:
+        BadRequestError: It doesn't.
+    """
+    if messages.header(request.headers, _RELAY_TARGET):
+        return
+    raise reading.BadRequestError(
+        const.STATUS_BAD_REQUEST,
+        "no-relay-target",
+        "A request to relay must name its target.",
+    )
+
+
 def create_server(
     driver: daemon_driver.Driver,
     cfg: settings.Settings,
     budget: memory.Budget,
+    *,
+    is_relay: bool = False,
 ) -> CallerServer:
-    """Create the server for callers."""
+    """Create the server for callers, or for entries that relay requests."""
 
     async def on_disconnect(call: int) -> None:
         driver.metrics.count("callers.left")
@@ -282,4 +308,4 @@
         await driver.post(events.CallerDisconnected(call))
 
     watcher = watching.create_watcher(on_disconnect)
-    return CallerServer(driver, cfg.limits, budget, watcher)
+    return CallerServer(driver, cfg.limits, budget, watcher, is_relay=is_relay)
--- a/src/agateshelf/daemon/driver.py
+++ b/src/agateshelf/daemon/driver.py
@@ -160,7 +160,11 @@
                 self.targets.abort_unsent(effect.target)
             case effects.CheckTarget():
                 await curio.spawn(
-                    checking.check, effect, self.post, daemon=True
+                    checking.check,
+                    effect,
+                    self.post,
+                    self.targets.source,
+                    daemon=True,
                 )
             case effects.DeliverAnswer():
                 await self._deliver_answer(effect)
--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -18,6 +18,7 @@
 from agateshelf import exceptions
 from agateshelf.core import events
 from agateshelf.core import state as core_state
+from agateshelf.core.routes import models as route_models
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import event_logging
 from agateshelf.daemon import listening
@@ -118,6 +119,7 @@
             max_buffered_bytes=cfg.limits.held_answer_bytes,
             via=cfg.entry.encode(),
             budget=budget,
+            source=cfg.target_source,
         ),
         metrics=counters,
         traces=_create_traces(cfg, counters),
@@ -174,10 +176,13 @@
 ) -> None:
     """Set up an entry that follows the routes in the platform's store."""
     driver.targets.dialect = dialect.DIALECT
+    driver.targets.connect_timeout = (
+        target_client.RELAYED_CONNECT_TIMEOUT_SECONDS
+    )
     store_client = client.Client(cfg.platform.store)
     driver.feed = feed.FeedClient(store_client)
     driver.store = store.StoreClient(store_client)
-    driver.prober = probing.Prober(dialect.DIALECT)
+    driver.prober = probing.Prober(dialect.DIALECT, cfg.target_source)
     driver.state.dispatch.bounds = reloading.bounds_of(routes)
 
 
@@ -213,9 +218,18 @@
         has_store=not has_feed,
         has_feed=has_feed,
         unix_time=time.time(),
+        relay_address=_relay_address(cfg),
     )
 
 
+def _relay_address(cfg: settings.Settings) -> str:
+    """Return the address at which this entry relays requests, if it does."""
+    relay = None if cfg.peers is None else cfg.peers.relay
+    if relay is None or cfg.routes is None:
+        return ""
+    return f"{relay.host}:{relay.port}"
+
+
 async def run(
     cfg: settings.Settings,
     path: pathlib.Path,
@@ -228,7 +242,13 @@
     epoch = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
     driver.peers = create_peers(cfg, driver, epoch)
     caller_server = callers.create_server(driver, cfg, budget)
-    driver.adopt_limits = caller_server.adopt_limits
+    relay_server = callers.create_server(driver, cfg, budget, is_relay=True)
+
+    def adopt_limits(limits: route_models.Limits) -> None:
+        caller_server.adopt_limits(limits)
+        relay_server.adopt_limits(limits)
+
+    driver.adopt_limits = adopt_limits
     listener = listening.create_listener(
         cfg.callers, caller_server.serve, "/callers"
     )
@@ -243,11 +263,14 @@
         if driver.traces is not None:
             await group.spawn(driver.traces.run)
         await group.spawn(caller_server.watcher.run)
+        await group.spawn(relay_server.watcher.run)
         if driver.peers is not None:
             await group.spawn(driver.peers.run, driver.post)
         await driver.post(create_started(cfg, driver.peers, epoch))
         for other in _create_other_listeners(cfg, driver):
             await other.start()
+        if _relay_address(cfg):
+            await _create_relay_listener(cfg, relay_server).start()
         await listener.start()
         _log.info(
             "Entry {} accepts callers on {}.", cfg.entry, listener.address
@@ -262,6 +285,7 @@
             listener,
             stop_signals,
             _stop_limits(cfg),
+            relay_server,
         )
         _log.info("Entry {} stopped.", cfg.entry)
 
@@ -296,6 +320,17 @@
     return listeners
 
 
+def _create_relay_listener(
+    cfg: settings.Settings, server: callers.CallerServer
+) -> listening.Listener:
+    """Create the listener for requests that other entries relay."""
+    relay = None if cfg.peers is None else cfg.peers.relay
+    if relay is None:
+        raise ValueError("no address to relay requests at is configured")
+    secure = settings.SecureListen(host=relay.host, port=relay.port)
+    return listening.create_listener(secure, server.serve, "/peers/relay")
+
+
 def _stop_limits(cfg: settings.Settings) -> settings.Limits:
     """Return the limits of a stop.
 
--- a/src/agateshelf/daemon/stopping.py
+++ b/src/agateshelf/daemon/stopping.py
@@ -24,6 +24,7 @@
     listener: listening.Listener,
     stop_signals: signals.Signals,
     limits: settings.Limits,
+    relay_server: server.CallerServer | None = None,
 ) -> None:
     """Drain the calls; refuse the remaining ones at a signal or deadline.
 
@@ -33,6 +34,8 @@
         listener: The listener for callers, which is closed.
         stop_signals: Signals; a second stop signal ends the draining.
         limits: Maximum durations of the steps of the stop.
+        relay_server: The server for other entries, whose connections are closed
+            as well.
     """
     await driver.post(events.StopRequested())
     if await _signalled_within(stop_signals, limits.unready_seconds):
@@ -42,6 +45,8 @@
         return
     await listener.close()
     await caller_server.stop()
+    if relay_server is not None:
+        await relay_server.stop()
     async with curio.ignore_after(limits.stop_seconds) as deadline:
         async with curio.TaskGroup(wait=any) as group:
             drained = await group.spawn(_drain, driver)
--- a/src/agateshelf/daemon/targets/attempts.py
+++ b/src/agateshelf/daemon/targets/attempts.py
@@ -24,6 +24,28 @@
     """The deadline for sending the request passed; no byte was sent."""
 
 
+class RelayRefusedError(exceptions.AgateshelfError):
+    """The relay answered itself: it has no answer of the target.
+
+    Attributes:
+        reached_target: Whether it tried the target.
+        may_have_run: Whether the target may have run the request.
+    """
+
+    def __init__(self, *, reached_target: bool, may_have_run: bool) -> None:
+        """Record what the relay says."""
+        super().__init__("the relay has no answer of the target")
+        self.reached_target = reached_target
+        self.may_have_run = may_have_run
+
+    @property
+    def kind(self) -> FailureKind:
+        """Return the kind of failure for the entry that has the call."""
+        if self.may_have_run:
+            return FailureKind.RESET
+        return FailureKind.CONNECT if self.reached_target else FailureKind.RELAY
+
+
 class Stage(enum.Enum):
     """Stage an attempt has reached."""
 
@@ -96,6 +118,8 @@
                 return FailureKind.CANCELLED
             case Interruption.TIMEOUT if self.any_byte_sent:
                 return FailureKind.TIMEOUT
+            case _ if self.effect.relay:
+                return FailureKind.RELAY
             case _:
                 return _DISCONNECT_KINDS[self.stage]
 
--- a/src/agateshelf/daemon/targets/checking.py
+++ b/src/agateshelf/daemon/targets/checking.py
@@ -16,12 +16,20 @@
 _PAUSED_AFTER_SECONDS = 1.0
 
 
-async def check(effect: effects.CheckTarget, post: posting.Post) -> None:
-    """Open and close a connection; post an event unless it is accepted."""
+async def check(
+    effect: effects.CheckTarget, post: posting.Post, source: str = ""
+) -> None:
+    """Open and close a connection; post an event unless it is accepted.
+
+    Args:
+        effect: The target to check.
+        post: Posts events.
+        source: Local IP address that it is opened from; empty for any.
+    """
     began = clock.now()
     try:
         async with curio.timeout_after(_CHECK_TIMEOUT_SECONDS):
-            conn = await connection.open_connection(effect.address)
+            conn = await connection.open_connection(effect.address, source)
     except ConnectionRefusedError:
         await post(events.TargetRefused(effect.target))
         return
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -5,9 +5,12 @@
 
 import curio
 import h11
+import msgspec
 
+from agateshelf import const
 from agateshelf.core import effects
 from agateshelf.core import events
+from agateshelf.core.outcomes import const as outcome_const
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.daemon import clock
 from agateshelf.daemon import dialect as daemon_dialect
@@ -22,6 +25,9 @@
 from agateshelf.daemon.targets import requests
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+# With entries that may relay, a connection that takes longer is given up while
+# there is time for the way round.
+RELAYED_CONNECT_TIMEOUT_SECONDS = 0.4
 
 _INLINE_SEND_BYTES = 65536
 _MAX_UNRELATED_ANSWERS = 4
@@ -30,6 +36,17 @@
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 _BODILESS_STATUSES = frozenset({204, 304})
 
+_OUTCOME = const.HEADER_OUTCOME.encode()
+
+
+class _Problem(msgspec.Struct):
+    """The part of a refusal that says why."""
+
+    title: str = ""
+
+
+_problem_decoder = msgspec.json.Decoder(_Problem)
+
 AttemptEnd = events.AttemptAnswered | events.AttemptFailed
 OnEnd = abc.Callable[[attempts.RunningAttempt, AttemptEnd], abc.Awaitable[None]]
 
@@ -45,6 +62,8 @@
         via: Value this hop adds to `Via`.
         budget: Memory budget for buffered requests and answers.
         dialect: Names of the headers.
+        source: Local IP address that connections are opened from, if set.
+        connect_timeout: Seconds that opening a connection may take.
         attempt_deadlines: Deadlines of running attempts.
         running: Running attempts by number.
         pending_answers: Answers not yet delivered, by number of the attempt.
@@ -55,6 +74,8 @@
     via: bytes
     budget: memory.Budget
     dialect: daemon_dialect.Dialect = daemon_dialect.DEFAULT
+    source: str = ""
+    connect_timeout: float = CONNECT_TIMEOUT_SECONDS
     attempt_deadlines: deadlines.Deadlines = dataclasses.field(
         default_factory=deadlines.Deadlines
     )
@@ -93,6 +114,10 @@
         )
         try:
             return await self._exchange(running)
+        except attempts.RelayRefusedError as exc:
+            return events.AttemptFailed(
+                effect.attempt, exc.kind, any_byte_sent=exc.may_have_run
+            )
         except h11.RemoteProtocolError:
             kind = running.protocol_error_kind()
         except OSError:
@@ -130,7 +155,10 @@
     def abort_unsent(self, target: str) -> None:
         """Cancel the attempts of a target of which no byte was sent."""
         for running in self.running.values():
-            if running.effect.target == target and not running.any_byte_sent:
+            effect = running.effect
+            if effect.relay or effect.target != target:
+                continue
+            if not running.any_byte_sent:
                 running.interrupt(attempts.Interruption.CANCELLED)
 
     async def run_deadlines(self) -> None:
@@ -199,16 +227,16 @@
         self, running: attempts.RunningAttempt
     ) -> connection.TargetConnection:
         effect = running.effect
-        kept = await self.connections.acquire(
-            effect.address, fresh=effect.fresh
-        )
+        address = effect.relay or effect.address
+        kept = await self.connections.acquire(address, fresh=effect.fresh)
         if kept is not None:
             running.kept_connection = True
             running.conn = kept
             return kept
-        conn = connection.create_connection(effect.address)
+        source = "" if effect.relay else self.source
+        conn = connection.create_connection(address, source)
         running.conn = conn
-        await _connect(conn)
+        await _connect(conn, self.connect_timeout)
         return conn
 
     async def _read(
@@ -234,6 +262,8 @@
             if not self._reserve(len(event.data), running):
                 source = conn
                 break
+        if running.effect.relay:
+            _check_relayed(headers, b"".join(parts))
         answer_headers = messages.end_to_end(headers)
         if self.dialect.adds_proxy_headers:
             via = b"%b %b" % (head.http_version, self.via)
@@ -287,9 +317,9 @@
         return True
 
 
-async def _connect(conn: connection.TargetConnection) -> None:
+async def _connect(conn: connection.TargetConnection, seconds: float) -> None:
     try:
-        async with curio.timeout_after(CONNECT_TIMEOUT_SECONDS):
+        async with curio.timeout_after(seconds):
             await conn.connect()
     except curio.TaskTimeout:
         raise TimeoutError(
@@ -360,6 +390,25 @@
         raise h11.RemoteProtocolError("body was encoded by an intermediary")
 
 
+def _check_relayed(headers: messages.Headers, body: bytes) -> None:
+    """Check that an answer through a relay is one of the target.
+
+    Raises:
+        RelayRefusedError: It is a refusal of the relay.
+    """
+    outcome = messages.header(headers, _OUTCOME)
+    if outcome is None:
+        return
+    try:
+        reason = _problem_decoder.decode(body).title
+    except msgspec.MsgspecError:
+        reason = ""
+    raise attempts.RelayRefusedError(
+        reached_target=reason == outcome_const.REASON_TARGET_FAILED,
+        may_have_run=outcome != outcome_models.Outcome.NOT_RUN.value.encode(),
+    )
+
+
 def _check_framing(
     conn: connection.TargetConnection, status: int, headers: messages.Headers
 ) -> None:
--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -181,23 +181,34 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
 
-def create_connection(address: str) -> TargetConnection:
-    """Create an unopened connection to an IP address and port."""
+def create_connection(address: str, source: str = "") -> TargetConnection:
+    """Create an unopened connection to an IP address and port.
+
+    Args:
+        address: `HOST:PORT` of the target.
+        source: Local IP address that it is opened from; empty for any.
+    """
     host = address.rpartition(":")[0]
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     set_user_timeout(sock, _USER_TIMEOUT_MS)
+    if source:
+        sock._socket.bind((source, 0))  # noqa: SLF001
     return TargetConnection(sock, h11.Connection(h11.CLIENT), address)
 
 
-async def open_connection(address: str) -> TargetConnection:
+async def open_connection(address: str, source: str = "") -> TargetConnection:
     """Open a connection to an IP address and port.
 
+    Args:
+        address: `HOST:PORT` of the target.
+        source: Local IP address that it is opened from; empty for any.
+
     Raises:
         OSError: The peer did not accept it.
     """
-    conn = create_connection(address)
+    conn = create_connection(address, source)
     try:
         await conn.connect()
     except BaseException:
--- a/src/agateshelf/daemon/targets/probing.py
+++ b/src/agateshelf/daemon/targets/probing.py
@@ -26,11 +26,13 @@
 
     Attributes:
         dialect: Names of the headers.
+        source: Local IP address that connections are opened from, if set.
         active_targets: Targets being probed; only their connections are kept.
         idle: Idle connections by target.
     """
 
     dialect: daemon_dialect.Dialect
+    source: str = ""
     active_targets: set[str] = dataclasses.field(default_factory=set)
     idle: dict[str, connection.TargetConnection] = dataclasses.field(
         default_factory=dict
@@ -40,7 +42,8 @@
         self, effect: effects.ProbeTarget, post: posting.Post
     ) -> None:
         """Probe a target in a new task, which posts `TargetProbed`."""
-        self.active_targets.add(effect.target)
+        if not effect.fresh:
+            self.active_targets.add(effect.target)
         await curio.spawn(self._probe, effect, post, daemon=True)
 
     async def _probe(
@@ -57,20 +60,21 @@
     async def _send_probe(
         self, effect: effects.ProbeTarget
     ) -> events.TargetProbed:
-        conn = self.idle.pop(effect.target, None)
+        conn = None if effect.fresh else self.idle.pop(effect.target, None)
         if conn is not None and (
             conn.address != effect.address or not conn.is_idle()
         ):
             await conn.close()
             conn = None
         if conn is None:
-            conn = await connection.open_connection(effect.address)
+            conn = await connection.open_connection(effect.address, self.source)
         try:
             probed = await self._exchange(conn, effect)
         except BaseException:
             await conn.close()
             raise
-        if conn.is_reusable() and effect.target in self.active_targets:
+        is_kept = effect.target in self.active_targets and not effect.fresh
+        if conn.is_reusable() and is_kept:
             conn.protocol.start_next_cycle()
             self.idle[effect.target] = conn
         else:
@@ -99,6 +103,7 @@
             effect.target,
             self._read_load(answer, headers),
             leaving=load.is_leaving(headers, self.dialect),
+            reached=True,
         )
 
     def _read_load(
--- a/src/agateshelf/daemon/targets/requests.py
+++ b/src/agateshelf/daemon/targets/requests.py
@@ -16,7 +16,10 @@
 
 _NO_RETRY = const.HEADER_NO_RETRY.encode()
 _TRACEPARENT = const.HEADER_TRACEPARENT.encode()
-_REPLACED_HEADERS = frozenset({b"content-length", b"expect", _NO_RETRY})
+_RELAY_TARGET = const.HEADER_RELAY_TARGET.encode()
+_REPLACED_HEADERS = frozenset(
+    {b"content-length", b"expect", _NO_RETRY, _RELAY_TARGET}
+)
 _END_OF_MESSAGE = h11.EndOfMessage()
 _METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
@@ -61,7 +64,9 @@
         headers.append((b"host", host))
     milliseconds = deadlines.propagated_timeout_ms(effect.timeout)
     headers.append((dialect.timeout_ms, b"%d" % milliseconds))
-    if dialect.expected_target:
+    if effect.relay:
+        headers.append((_RELAY_TARGET, effect.target.encode()))
+    elif dialect.expected_target:
         headers.append((dialect.expected_target, effect.target.encode()))
     if effect.no_retry:
         headers.append((_NO_RETRY, b"1"))
--- a/src/agateshelf/documents/settings.py
+++ b/src/agateshelf/documents/settings.py
@@ -132,6 +132,9 @@
         listen: Address to listen on for peers.
         advertised: `HOST:PORT` announced to peers, if it differs because of
             address translation.
+        relay: Address to listen on for requests that other entries relay
+            through this one, as they don't reach a target themselves; without
+            one, this entry relays none.
         public_key: CURVE public key shared by all entries; without one,
             messages are neither encrypted nor authenticated.
         secret_key: CURVE secret key shared by all entries.
@@ -141,6 +144,7 @@
 
     listen: Listen
     advertised: Address | None = None
+    relay: Listen | None = None
     public_key: CurveKey | None = None
     secret_key: CurveKey | None = None
     seeds: tuple[Seed | Address, ...] = ()
@@ -232,7 +236,12 @@
 
 
 class Settings(structs.StrictStruct, frozen=True, kw_only=True):
-    """All settings of an entry."""
+    """All settings of an entry.
+
+    Attributes:
+        target_source: Local IP address that connections to targets are opened
+            from, on an instance with several; empty for any.
+    """
 
     entry: EntryName
     failure_domain: Annotated[str, msgspec.Meta(min_length=1)]
@@ -246,6 +255,7 @@
     capacity: Capacity = Capacity()
     limits: Limits = Limits()
     logs: Logs = Logs()
+    target_source: str = ""
     statsd: Address | None = None
     traces: Traces | None = None
 
