--- /dev/null
+++ b/tests/core/reach/test_relays.py
@@ -0,0 +1,241 @@
+"""Entries that are cut off from targets, in virtual time.
+
+Guards against incident RECOVER: they held or failed what they could not send,
+though entries beside them reached every target.
+"""
+
+import pytest
+from tests.core import routed_fleet
+
+from agateshelf.core import effects
+from agateshelf.core import events
+from agateshelf.core.outcomes import models as outcome_models
+
+DOMAINS = ("boston", "boston", "hartford", "hartford")
+SETTLED_SECONDS = 3.0
+HOP_SECONDS = 0.002
+KINDS = outcome_models.FailureKind
+
+
+class CutFleet(routed_fleet.RoutedFleet):
+    """A fleet in which some entries are cut off from targets.
+
+    Attributes:
+        cut: Entries that are cut off, and whether they see silence.
+        down: Targets that refuse connections of everybody.
+        relayed: Call and attempt of the entry that each relayed call is for, by
+            number of the relay's call.
+        direct: Time and entry of each send without a relay.
+        lost_relays: Entries that take no relayed requests.
+    """
+
+    def __init__(self, targets=6, seed=1, silent=False):
+        super().__init__(DOMAINS, seed)
+        self.silent = silent
+        self.cut = set()
+        self.down = set()
+        self.relayed = {}
+        self.direct = []
+        self.lost_relays = set()
+        for index in range(targets):
+            name = f"t{index}"
+            self.items[name] = routed_fleet.create_target(
+                name, address=f"10.9.0.{index}:80"
+            )
+        self.start()
+        self.run_for(8.0)
+
+    def post(self, node, event):
+        if isinstance(event, events.Started):
+            address = f"relay/{node.name}"
+            values = {f: getattr(event, f) for f in event.__struct_fields__}
+            event = events.Started(**{**values, "relay_address": address})
+        super().post(node, event)
+
+    def _start(self, node, effect):
+        if effect.relay:
+            self._relay(node, effect)
+            return
+        self.direct.append((self.now, node.name))
+        if node.name not in self.cut and effect.target not in self.down:
+            super()._start(node, effect)
+        elif not self.silent:
+            end = routed_fleet.failed(
+                effect.attempt, routed_fleet.CONNECT, sent=False
+            )
+            self.at(self.now + HOP_SECONDS, self.post, node, end)
+
+    def _relay(self, node, effect):
+        relay = self.nodes[effect.relay.removeprefix("relay/")]
+        if relay.name in self.lost_relays:
+            end = routed_fleet.failed(effect.attempt, KINDS.RELAY, sent=False)
+            self.at(self.now + HOP_SECONDS, self.post, node, end)
+            return
+        call = next(self.calls)
+        self.relayed[call] = (node, effect.attempt)
+        arrived = events.RequestArrived(
+            call,
+            node.name,
+            "GET",
+            "/vin/1",
+            host="recall.example",
+            timeout=effect.timeout,
+            relay_target=effect.target,
+        )
+        self.at(self.now + HOP_SECONDS, self.post, relay, arrived)
+
+    def apply(self, node, effect):
+        match effect:
+            case effects.DeliverAnswer() if effect.call in self.relayed:
+                origin, attempt = self.relayed[effect.call]
+                end = events.AttemptAnswered(attempt, 200)
+                self.at(self.now + HOP_SECONDS, self.post, origin, end)
+            case effects.CheckTarget() if node.name in self.cut:
+                refused = events.TargetRefused(effect.target)
+                self.at(self.now + HOP_SECONDS, self.post, node, refused)
+            case effects.Refuse() if effect.call in self.relayed:
+                origin, attempt = self.relayed[effect.call]
+                is_tried = effect.refusal.reason == "target-failed"
+                kind = KINDS.CONNECT if is_tried else KINDS.RELAY
+                end = routed_fleet.failed(attempt, kind, sent=False)
+                self.at(self.now + HOP_SECONDS, self.post, origin, end)
+            case _:
+                super().apply(node, effect)
+
+    def _probe(self, node, effect):
+        if node.name in self.cut or effect.target in self.down:
+            event = events.TargetProbed(effect.service, effect.target, None)
+            self.post(node, event)
+            return
+        super()._probe(node, effect)
+
+    def cut_off(self, name):
+        """Cut an entry off, and reset what it has under way."""
+        self.cut.add(name)
+        node = self.nodes[name]
+        for attempt in list(node.state.forwarding.attempts):
+            end = routed_fleet.failed(attempt, routed_fleet.RESET)
+            self.at(self.now + HOP_SECONDS, self.post, node, end)
+
+    def send_for(self, seconds, names, per_second=20):
+        """Send requests through entries in turn; return their calls."""
+        sent = []
+        for number in range(int(seconds * per_second)):
+            at = self.now + number / per_second
+            self.at(at, self._send, names[number % len(names)], sent)
+        self.run_for(seconds)
+        return sent
+
+    def _send(self, name, sent):
+        sent.append(self.request(name))
+
+    def served(self, calls):
+        """Return how many calls were answered."""
+        responses = [self.response(call) for call in calls]
+        return sum(one is not None and one[0] == "answer" for one in responses)
+
+
+@pytest.mark.parametrize("silent", [False, True])
+@pytest.mark.parametrize("count", [1, 2, 3])
+def test_callers_of_cut_entries_are_served(count, silent):
+    fleet = CutFleet(silent=silent)
+    names = list(fleet.nodes)
+    fleet.cut = set(names[:count])
+    fleet.send_for(SETTLED_SECONDS, names)
+    calls = fleet.send_for(6.0, names[:count])
+    fleet.run_for(1.0)
+    assert fleet.served(calls) == len(calls)
+
+
+def test_entries_that_are_not_cut_keep_their_targets():
+    # Connect failures of cut entries must not bar targets for the others.
+    fleet = CutFleet()
+    names = list(fleet.nodes)
+    fleet.cut = set(names[:2])
+    fleet.send_for(SETTLED_SECONDS, names)
+    calls = fleet.send_for(4.0, names[2:])
+    fleet.run_for(1.0)
+    assert fleet.served(calls) == len(calls)
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_entries_send_directly_again_once_the_cut_is_over(silent):
+    fleet = CutFleet(silent=silent)
+    names = list(fleet.nodes)
+    fleet.cut = set(names[:1])
+    fleet.send_for(SETTLED_SECONDS, names[:1])
+    fleet.cut = set()
+    fleet.run_for(1.0)
+    before = len(fleet.relayed)
+    calls = fleet.send_for(3.0, names[:1])
+    fleet.run_for(1.0)
+    assert fleet.served(calls) == len(calls)
+    assert len(fleet.relayed) == before
+
+
+def test_relays_share_the_load_of_cut_entries():
+    fleet = CutFleet()
+    names = list(fleet.nodes)
+    fleet.cut = set(names[:1])
+    fleet.send_for(SETTLED_SECONDS, names[:1])
+    fleet.direct.clear()
+    fleet.send_for(10.0, names[:1])
+    by_entry = [sum(n == name for _, n in fleet.direct) for name in names[1:]]
+    assert min(by_entry) >= 0.1 * sum(by_entry)
+
+
+def test_a_relay_that_takes_nothing_is_passed_over():
+    fleet = CutFleet()
+    names = list(fleet.nodes)
+    fleet.cut = set(names[:1])
+    fleet.lost_relays = set(names[1:3])
+    fleet.send_for(SETTLED_SECONDS, names[:1])
+    calls = fleet.send_for(4.0, names[:1])
+    fleet.run_for(1.0)
+    assert fleet.served(calls) == len(calls)
+
+
+def test_a_target_that_is_down_is_not_taken_for_a_cut():
+    fleet = CutFleet()
+    names = list(fleet.nodes)
+    fleet.down = {"t0", "t1"}
+    fleet.send_for(6.0, names)
+    for node in fleet.nodes.values():
+        logged = [effect.event for _, effect in node.notes]
+        assert "reach.lost" not in logged
+
+
+def test_nothing_is_held_when_no_entry_reaches_a_target():
+    fleet = CutFleet(silent=True)
+    names = list(fleet.nodes)
+    fleet.cut = set(names)
+    fleet.send_for(SETTLED_SECONDS, names)
+    calls = fleet.send_for(4.0, names)
+    answered = [fleet.response(call) for call in calls]
+    refused_at_once = [one for one in answered if one is not None]
+    assert len(refused_at_once) >= 0.8 * len(calls)
+    for kind, refusal in refused_at_once:
+        assert kind == "refused"
+        assert refusal.retry_after
+
+
+def test_a_relay_sends_nothing_to_a_leaving_target():
+    fleet = CutFleet()
+    relay = next(iter(fleet.nodes.values()))
+    draining = routed_fleet.create_target("t0", draining=True)
+    fleet.change(draining)
+    fleet.run_for(1.0)
+    fleet.sends.clear()
+    arrived = events.RequestArrived(
+        9999,
+        "10.0.0.9",
+        "GET",
+        "/vin/1",
+        host="recall.example",
+        relay_target="t0",
+    )
+    fleet.post(relay, arrived)
+    kind, refusal = fleet.response(9999)
+    assert kind == "refused"
+    assert refusal.outcome is outcome_models.Outcome.NOT_RUN
+    assert not fleet.sends["t0"]
