Don't take a cut for crashes of the requests that ran

Callers would have seen: a request that many of them send refused to all as a crashing one, at all entries, after two entries had lost their links with resets one after the other.

Cause: a target that refuses a connection counts as ended for what was lost there, though the refusal may come from the entry's own link.

Now a refusal counts only once it is known that another target of the service was reached: at once if that is known, after the probes otherwise. While the entry is cut off it doesn't count; what the platform says of the target still does, and so does what the relays see. The test failed before, with pauses of 0, 20 and 200 ms between the cuts of three entries.

--- a/src/agateshelf/core/poison/evidence.py
+++ b/src/agateshelf/core/poison/evidence.py
@@ -23,6 +23,7 @@
 from agateshelf.core.poison import models
 from agateshelf.core.poison import records
 from agateshelf.core.poison import replication
+from agateshelf.core.reach import detection
 
 Effects = list[effects.Effect]
 Matches = abc.Callable[[models.Send], bool]
@@ -160,6 +161,15 @@
     registration = state.directory.targets.get(target)
     if registration is not None and registration.draining:
         return []
+    if registration is not None and detection.is_in_doubt(
+        state, registration.service, target
+    ):
+        state.poison.doubtful.add(target)
+        return []
+    if registration is not None and detection.is_cut(
+        state, registration.service
+    ):
+        return []
     oldest = now - const.CONFIRM_SECONDS
     sends = [
         loss.send
@@ -171,6 +181,26 @@
     return _confirm_all(state, now, sends, "refused")
 
 
+def on_reach_judged(
+    state: core_state.State, now: float, event: events.ReachJudged
+) -> Effects:
+    """Count or drop what was refused before it was known why."""
+    targets = {
+        target
+        for target in state.poison.doubtful
+        if target not in state.directory.targets
+        or state.directory.targets[target].service == event.service
+    }
+    state.poison.doubtful -= targets
+    if event.is_cut:
+        return []
+    return [
+        effect
+        for target in sorted(targets)
+        for effect in on_refused(state, now, target)
+    ]
+
+
 def on_silent(state: core_state.State, now: float, target: str) -> Effects:
     """Suspect a target that answers no connection; if removed, it has ended."""
     registration = state.directory.targets.get(target)
--- a/src/agateshelf/core/poison/models.py
+++ b/src/agateshelf/core/poison/models.py
@@ -208,6 +208,8 @@
         trials: Trials of withheld requests by fingerprint, the oldest first.
         in_flight: Sends without an answer yet, by attempt.
         losses: Losses by fingerprint, the least recent first.
+        doubtful: Targets that refused a connection while this entry may be cut
+            off from all of them.
         ended: When each process was found to have ended, the oldest first.
         answered_at: When a target last answered this entry, in seconds.
         checked_at: When each target was last checked after a loss.
@@ -230,6 +232,7 @@
     losses: collections.OrderedDict[bytes, list[Loss]] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    doubtful: set[str] = dataclasses.field(default_factory=set)
     ended: collections.OrderedDict[Process, float] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
--- a/src/agateshelf/core/reach/detection.py
+++ b/src/agateshelf/core/reach/detection.py
@@ -47,7 +47,7 @@
     reach.answered_at = now
     reach.down.discard(attempt.target)
     if reach.cut_since is None:
-        _acquit(reach)
+        _acquit(state, service)
         return []
     if attempt.started < reach.cut_since:
         return []
@@ -65,11 +65,21 @@
     )
 
 
-def _acquit(reach: models.ServiceReach) -> None:
+def _acquit(state: core_state.State, service: str) -> None:
     """Hold the targets that were not reached for down, as another one was."""
+    reach = _reach_of(state, service)
+    reach.probing.clear()
+    if not reach.unreached:
+        return
     reach.down |= reach.unreached
     reach.unreached.clear()
-    reach.probing.clear()
+    state.pending_events.append(events.ReachJudged(service, is_cut=False))
+
+
+def is_in_doubt(state: core_state.State, service: str, target: str) -> bool:
+    """Return whether it isn't known yet why a target was not reached."""
+    reach = state.reach.services.get(service)
+    return reach is not None and target in reach.unreached
 
 
 def on_unreached(
@@ -86,7 +96,10 @@
 def _probe_others(state: core_state.State, now: float, service: str) -> Effects:
     reach = _reach_of(state, service)
     is_early = now - reach.probed_at < const.PROBE_PAUSE_SECONDS
-    if reach.cut_since is not None or reach.probing or is_early:
+    if reach.cut_since is not None or reach.probing:
+        return []
+    if is_early:
+        watch_silence(state, now, service)
         return []
     others = _targets_of(state, now, service) - reach.unreached
     if not others:
@@ -164,8 +177,7 @@
 ) -> Effects:
     reach = _reach_of(state, service)
     if is_reached or reach.answered_at > reach.probed_at:
-        _acquit(reach)
-        state.pending_events.append(events.ReachJudged(service, is_cut=False))
+        _acquit(state, service)
         return []
     reach.unreached.add(target)
     if reach.probing:
@@ -277,19 +289,22 @@
 ) -> Effects:
     """Probe targets if requests stay without any answer (timer)."""
     reach = _reach_of(state, event.service)
-    reach.is_watched = False
+    goes_on = bool(reach.unreached) and reach.cut_since is None
     emitted: Effects = []
+    if reach.unreached:
+        emitted.extend(_probe_others(state, now, event.service))
     for attempt in state.forwarding.attempts.values():
         call = state.forwarding.calls[attempt.call]
         if attempt.relay or call.service != event.service:
             continue
-        reach.is_watched = True
+        goes_on = True
         allowed = max(const.MIN_SILENCE_SECONDS, call.route.target_latency)
         is_silent = now - attempt.started >= allowed
         if is_silent and reach.answered_at < attempt.started:
             reach.unreached.add(attempt.target)
             emitted.extend(_probe_others(state, now, event.service))
-    if reach.is_watched:
+    reach.is_watched = goes_on
+    if goes_on:
         at = now + const.SILENCE_CHECK_SECONDS
         timers.schedule(state.timers, at, event)
     return emitted
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -100,7 +100,10 @@
         case reach_models.RecheckDue():
             return detection.on_recheck_due(state, now, event)
         case events.ReachJudged():
-            return completion.on_reach_judged(state, now, event)
+            return [
+                *evidence.on_reach_judged(state, now, event),
+                *completion.on_reach_judged(state, now, event),
+            ]
         case feed_models.WatchResumeDue():
             return reading.on_watch_resume_due(state, event)
         case feed_models.ReaderResigned():
--- a/tests/core/reach/test_relays.py
+++ b/tests/core/reach/test_relays.py
@@ -9,7 +9,9 @@
 
 from agateshelf.core import effects
 from agateshelf.core import events
+from agateshelf.core.forwarding import lifecycle
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.core.poison import records
 
 DOMAINS = ("boston", "boston", "hartford", "hartford")
 SETTLED_SECONDS = 3.0
@@ -219,6 +221,33 @@
         assert refusal.retry_after
 
 
+@pytest.mark.parametrize("pause", [0.0, 0.02, 0.2])
+def test_a_cut_does_not_count_as_crashes_of_what_ran(pause):
+    # All callers ask the same, so that it would be withheld from all of them.
+    fleet = CutFleet()
+    names = list(fleet.nodes)
+    fleet.run_seconds = 0.3
+    for name in names[:3]:
+        for _ in range(3):
+            fleet.request(name)
+        fleet.run_for(0.01)
+        fleet.cut_off(name)
+        fleet.run_for(pause)
+    fleet.run_for(0.5)
+    for node in fleet.nodes.values():
+        assert not records.active_crashes(
+            node.state, fleet.now, fingerprint_of_lookup()
+        )
+
+
+def fingerprint_of_lookup():
+    """Return the fingerprint of the request that all callers send."""
+    event = events.RequestArrived(
+        0, "desk", "GET", "/vin/1", host="recall.example"
+    )
+    return lifecycle.fingerprint_of(event)
+
+
 def test_a_relay_sends_nothing_to_a_leaving_target():
     fleet = CutFleet()
     relay = next(iter(fleet.nodes.values()))
