--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -194,6 +194,17 @@
             ),
         ),
     ),
+    Mutation(
+        "entries-cut-from-targets",
+        "cut entries served",
+        (
+            Edit(
+                f"{_CORE}/reach/relays.py",
+                "    if not candidates:\n        return None\n",
+                "    if candidates:\n        return None\n",
+            ),
+        ),
+    ),
     Mutation(
         "target-limits",
         "named",
