Forget the targets that went, of those held for down

A service's targets come and go for months, and an entry kept the identifiers of all that were ever found down.

--- a/src/agateshelf/core/reach/detection.py
+++ b/src/agateshelf/core/reach/detection.py
@@ -71,7 +71,8 @@
     reach.probing.clear()
     if not reach.unreached:
         return
-    reach.down |= reach.unreached
+    known = state.directory.services.get(service, set())
+    reach.down = (reach.down | reach.unreached) & known
     reach.unreached.clear()
     state.pending_events.append(events.ReachJudged(service, is_cut=False))
 
--- a/tests/core/reach/test_relays.py
+++ b/tests/core/reach/test_relays.py
@@ -9,6 +9,7 @@
 
 from agateshelf.core import effects
 from agateshelf.core import events
+from agateshelf.core.directory import models as directory_models
 from agateshelf.core.forwarding import lifecycle
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.poison import records
@@ -207,6 +208,18 @@
         assert "reach.lost" not in logged
 
 
+def test_targets_that_went_are_forgotten():
+    fleet = CutFleet()
+    fleet.down = {"t0"}
+    fleet.send_for(3.0, list(fleet.nodes))
+    fleet.change(directory_models.Removal("t0", 0))
+    fleet.down = {"t1"}
+    fleet.send_for(6.0, list(fleet.nodes))
+    for node in fleet.nodes.values():
+        reach = node.state.reach.services["status"]
+        assert "t0" not in reach.down | reach.unreached
+
+
 def test_nothing_is_held_when_no_entry_reaches_a_target():
     fleet = CutFleet(silent=True)
     names = list(fleet.nodes)
