End a cut by the targets that can be probed

The way back needs two targets that answer, or all there are; targets that drain counted among all, but aren't probed. The test failed before.

--- a/src/agateshelf/core/reach/detection.py
+++ b/src/agateshelf/core/reach/detection.py
@@ -237,7 +237,7 @@
     if not is_reached:
         return []
     reach.regained.add(target)
-    known = len(state.directory.services.get(service, ()))
+    known = len(_targets_of(state, now, service))
     if len(reach.regained) < min(const.TARGETS_TO_REGAIN, known):
         return []
     return _regain(state, now, service)
--- a/tests/core/reach/test_relays.py
+++ b/tests/core/reach/test_relays.py
@@ -176,6 +176,19 @@
     assert len(fleet.relayed) == before
 
 
+def test_one_target_that_does_not_drain_is_enough_to_end_a_cut():
+    fleet = CutFleet(targets=2)
+    names = list(fleet.nodes)
+    fleet.cut = set(names[:1])
+    fleet.send_for(SETTLED_SECONDS, names[:1])
+    fleet.change(routed_fleet.create_target("t0", draining=True))
+    fleet.cut = set()
+    fleet.run_for(1.0)
+    before = len(fleet.relayed)
+    fleet.send_for(2.0, names[:1])
+    assert len(fleet.relayed) == before
+
+
 def test_relays_share_the_load_of_cut_entries():
     fleet = CutFleet()
     names = list(fleet.nodes)
