Soak: lose what a cut holds for longer than its sender waits

Traced: both requests were sent at 1767.12 and 1767.14, before the target drained, were held by the cut, given up by their entries at 1768.6 and the connections closed; the proxy delivered them when the cut ended, at 1773.04. Entries set TCP_USER_TIMEOUT to 1 s, after which a real link has lost them. A cut proxy now resets a connection whose bytes it held for longer.

--- a/soak/links.py
+++ b/soak/links.py
@@ -7,6 +7,7 @@
 import dataclasses
 import socket
 import struct
+import time
 from typing import Any
 
 import curio
@@ -16,6 +17,9 @@
 
 _CHUNK_BYTES = 65536
 _POLL_SECONDS = 0.02
+# The TCP_USER_TIMEOUT of entries: they give up what is unacknowledged so long,
+# which the proxy's own end of the connection has acknowledged.
+_LOST_AFTER_SECONDS = 1.0
 _DELAY_SECONDS = 0.12
 _CONNECT_SECONDS = 1.0
 _BACKLOG = 256
@@ -190,7 +194,10 @@
         """Forward one direction, which the mode `blocked` holds."""
         try:
             while data := await source.recv(_CHUNK_BYTES):
+                held_since = time.monotonic()
                 await self._wait(blocked, source)
+                if time.monotonic() - held_since > _LOST_AFTER_SECONDS:
+                    raise ConnectionResetError("bytes were held for too long")
                 await sink.sendall(data)
             await self._wait(blocked, source)
             await sink.shutdown(socket.SHUT_WR)
