Notice a cut although a probed target goes meanwhile

The end of a probe is dropped if its target is no longer registered, and while one is outstanding no others were probed: an entry that was cut off at that moment never noticed, until any target answered. Probes are repeated by time alone now.

--- a/src/agateshelf/core/reach/detection.py
+++ b/src/agateshelf/core/reach/detection.py
@@ -96,10 +96,10 @@
 
 def _probe_others(state: core_state.State, now: float, service: str) -> Effects:
     reach = _reach_of(state, service)
-    is_early = now - reach.probed_at < const.PROBE_PAUSE_SECONDS
-    if reach.cut_since is not None or reach.probing:
+    if reach.cut_since is not None:
         return []
-    if is_early:
+    # Longer than a probe takes, one of which may never end: its target may go.
+    if now - reach.probed_at < const.PROBE_PAUSE_SECONDS:
         watch_silence(state, now, service)
         return []
     others = _targets_of(state, now, service) - reach.unreached
--- a/tests/core/reach/test_relays.py
+++ b/tests/core/reach/test_relays.py
@@ -30,6 +30,7 @@
             number of the relay's call.
         direct: Time and entry of each send without a relay.
         lost_relays: Entries that take no relayed requests.
+        lost_probes: Whether probes never end.
     """
 
     def __init__(self, targets=6, seed=1, silent=False):
@@ -40,6 +41,7 @@
         self.relayed = {}
         self.direct = []
         self.lost_relays = set()
+        self.lost_probes = False
         for index in range(targets):
             name = f"t{index}"
             self.items[name] = routed_fleet.create_target(
@@ -106,6 +108,8 @@
                 super().apply(node, effect)
 
     def _probe(self, node, effect):
+        if self.lost_probes and not effect.service:
+            return
         if node.name in self.cut or effect.target in self.down:
             event = events.TargetProbed(effect.service, effect.target, None)
             self.post(node, event)
@@ -176,6 +180,20 @@
     assert len(fleet.relayed) == before
 
 
+def test_a_cut_is_noticed_though_a_probed_target_goes():
+    fleet = CutFleet()
+    name = next(iter(fleet.nodes))
+    node = fleet.nodes[name]
+    fleet.lost_probes = True
+    fleet.cut = {name}
+    fleet.send_for(0.2, [name])
+    fleet.lost_probes = False
+    for target in node.state.reach.services["status"].probing:
+        fleet.change(directory_models.Removal(target, 0))
+    fleet.send_for(SETTLED_SECONDS, [name])
+    assert any(effect.event == "reach.lost" for _, effect in node.notes)
+
+
 def test_one_target_that_does_not_drain_is_enough_to_end_a_cut():
     fleet = CutFleet(targets=2)
     names = list(fleet.nodes)
