--- a/src/agateshelf/core/reach/relays.py
+++ b/src/agateshelf/core/reach/relays.py
@@ -18,27 +18,33 @@
 def choose(
     state: core_state.State, now: float, service: str, excluded: set[str]
 ) -> str | None:
-    """Return an entry that reaches a service's targets, or None."""
+    """Return an entry that reaches a service's targets, or None.
+
+    One that failed lately is better than none: its target may have been why.
+    """
     candidates = [
         entry
         for entry in view.live_entries(state)
-        if entry not in excluded and _is_usable(state, now, service, entry)
+        if entry not in excluded and _is_usable(state, service, entry)
     ]
     if not candidates:
         return None
+    candidates = [
+        entry for entry in candidates if not _is_avoided(state, now, entry)
+    ] or candidates
     drawn = state.rng.sample(candidates, min(2, len(candidates)))
     return min(drawn, key=lambda entry: _load_of(state, entry))
 
 
-def _is_usable(
-    state: core_state.State, now: float, service: str, entry: str
-) -> bool:
+def _is_usable(state: core_state.State, service: str, entry: str) -> bool:
     if entry == state.identity.entry or not address_of(state, entry):
         return False
-    if service in state.reach.cut_peers.get(entry, ()):
-        return False
+    return service not in state.reach.cut_peers.get(entry, ())
+
+
+def _is_avoided(state: core_state.State, now: float, entry: str) -> bool:
     relay = state.reach.relays.get(entry)
-    return relay is None or relay.avoid_until <= now
+    return relay is not None and relay.avoid_until > now
 
 
 def _load_of(state: core_state.State, entry: str) -> float:
--- a/tests/core/reach/test_relays.py
+++ b/tests/core/reach/test_relays.py
@@ -229,6 +229,19 @@
     assert fleet.served(calls) == len(calls)
 
 
+def test_the_only_relay_is_used_again_after_it_failed_once():
+    fleet = CutFleet()
+    names = list(fleet.nodes)
+    fleet.cut = set(names[:3])
+    fleet.send_for(SETTLED_SECONDS, names)
+    fleet.lost_relays = set(names[3:])
+    fleet.send_for(0.1, names[:1])
+    fleet.lost_relays = set()
+    calls = fleet.send_for(0.8, names[:1])
+    fleet.run_for(1.0)
+    assert fleet.served(calls) == len(calls)
+
+
 def test_a_target_that_is_down_is_not_taken_for_a_cut():
     fleet = CutFleet()
     names = list(fleet.nodes)
