Show that a change of routes is late after a loss of entries

review/4 kills 4 of 8 entries, the reader first, right after the store has acknowledged a configuration that moves a route. The entries that are left go on to send bookings to the old service beyond config_apply.

--- a/review/standins/member.py
+++ b/review/standins/member.py
@@ -115,7 +115,9 @@
 
     async def run(self, request_id: str) -> http.Response:
         """Run a request and return the signed answer."""
-        self.log.add("run", server=self.name, id=request_id)
+        self.log.add(
+            "run", server=self.name, service=self.service, id=request_id
+        )
         await asyncio.sleep(self.work_seconds)
         body = json.dumps({"server": self.name, "id": request_id}).encode()
         return http.Response(200, body, self.signed(request_id, body))
