Order the review's cases by gravity and end their processes on a timeout

The numbers of the cases change: 3 (LOST) to 2, 2 (DRAIN) to 4, 4 (CONFIG) to 5. A common runner of the scripts ends all processes also when the script is ended for time, and case 1 records the readiness of the entries.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import pathlib
 import sys
 
@@ -11,7 +10,6 @@
 
 from standins import fleet as fleet_lib  # noqa: E402
 
-HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 NESTED_LISTS = 2000
 # `drain` of the settings is 2 s.
 DRAIN_SECONDS = 2.0
@@ -48,13 +46,13 @@
         fleet.start_entry(entry)
     for entry in fleet.entries:
         if not await fleet.wait_ready(entry):
-            return CANNOT_RUN
+            return fleet_lib.CANNOT_RUN
     await asyncio.sleep(QUIET_SECONDS)
     for _ in range(10):
         for entry in fleet.entries:
             answer = await fleet_lib.ask(fleet, entry, "/orders/1")
             if answer.status != 200:
-                return CANNOT_RUN
+                return fleet_lib.CANNOT_RUN
     if trouble:
         fleet.store.put("servers/i-foreign", foreign_entry())
         fleet.log.add("foreign entry written")
@@ -77,7 +75,7 @@
     fleet.log.add(
         "verdict", late_requests=late, unserved_after_replacement=unserved
     )
-    return BROKEN if late else HELD
+    return fleet_lib.BROKEN if late else fleet_lib.HELD
 
 
 async def replace_all(fleet: fleet_lib.Fleet) -> int:
@@ -100,18 +98,10 @@
         for entry in fleet.entries
         for _ in range(5)
     ]
+    ready = [await fleet.is_ready(entry) for entry in fleet.entries]
+    fleet.log.add("ready after the replacement", entries=ready)
     return sum(answer.status != 200 for answer in answers)
 
 
-async def main() -> int:
-    """Run the case once."""
-    fleet = await fleet_lib.create_fleet(CASE, entries=3)
-    try:
-        return await play(fleet, trouble=os.environ.get("TROUBLE") != "0")
-    finally:
-        await fleet.stop()
-        fleet.log.write()
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(fleet_lib.run_case(CASE, play, entries=3))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,6 @@
-"""Entries that lose half of the others act on an old configuration."""
+"""Resets of one entry's watches keep a server in use that has left."""
 
 import asyncio
-import os
 import pathlib
 import sys
 
@@ -9,145 +8,90 @@
 sys.path.insert(0, str(CASE.parent))
 
 from standins import fleet as fleet_lib  # noqa: E402
-from standins import http  # noqa: E402
-
-HELD, BROKEN, CANNOT_RUN = 0, 1, 2
-ENTRIES = 8
-# All entries start within 0.3 s.
-START_PAUSE_SECONDS = 0.035
-QUIET_SECONDS = 5.0
-# `config_apply` of the settings is 2 s; a little more for the way to the store.
-APPLY_SECONDS = 2.05
-PAUSE_SECONDS = 0.04
-DOWN_SECONDS = 2.0
-ROUNDS = 1
-SERVICES = ("east", "west")
-
-
-def configuration(version: int, service: str) -> bytes:
-    """Return a configuration that sends all bookings to one service."""
-    return fleet_lib.configuration(
-        version,
-        [
-            fleet_lib.route("/pay/", service, "unsafe"),
-            fleet_lib.route("/east/", "east"),
-            fleet_lib.route("/west/", "west"),
-        ],
-    )
-
-
-async def follow_store(
-    fleet: fleet_lib.Fleet, readers: dict[str, float]
-) -> None:
-    """Give each entry an address of the store, to see who reads it last."""
-    loop = asyncio.get_running_loop()
-
-    def create_tap(entry: fleet_lib.Entry) -> http.Server:
-        async def handle(request: http.Request) -> http.Response:
-            if request.path == "/kv-watch":
-                readers[entry.name] = loop.time()
-            return await fleet.store.handle(request)
-
-        return http.Server(handle)
-
-    for entry in fleet.entries:
-        port = fleet_lib.free_port()
-        await create_tap(entry).start(fleet_lib.HOST, port)
-        fleet.store_port_of[entry.name] = port
-
-
-def choose_lost(
-    fleet: fleet_lib.Fleet, readers: dict[str, float]
-) -> list[fleet_lib.Entry]:
-    """Return half of the entries, first the one that read the store last."""
-    latest = max(readers, key=readers.__getitem__)
-    ordered = sorted(fleet.entries, key=lambda entry: entry.name != latest)
-    return ordered[: ENTRIES // 2]
-
-
-async def change(
-    fleet: fleet_lib.Fleet,
-    readers: dict[str, float],
-    number: int,
-    *,
-    trouble: bool,
-) -> int:
-    """Move a route as entries are lost.
-
-    Returns:
-        How many bookings sent too late for that the old service ran.
-    """
+from standins import member as member_lib  # noqa: E402
+from standins import proxy as proxy_lib  # noqa: E402
+
+# `drain` of the settings is 2 s. A request is late if its client sent it later
+# than that, and a tenth of a second for the way to the store and back.
+DRAIN_SECONDS = 2.1
+LEAVES_AFTER_SECONDS = 0.25
+QUIET_SECONDS = 6.0
+START_PAUSE_SECONDS = 0.14
+# The server serves on for `drain` and a little longer.
+SERVES_ON_SECONDS = 2.3
+PAUSE_SECONDS = 0.025
+
+
+async def send_all(
+    fleet: fleet_lib.Fleet, leaving: member_lib.Member, began: float
+) -> tuple[int, int]:
+    """Send bookings for a while; return how many were late, and lost."""
     loop = asyncio.get_running_loop()
-    old, new = SERVICES[number % 2], SERVICES[(number + 1) % 2]
-    fleet.store.put("op/config", configuration(10 + number, new))
-    acknowledged = loop.time()
-    fleet.log.add("configuration acknowledged", version=10 + number, to=new)
-    lost = choose_lost(fleet, readers) if trouble else []
-    left = [entry for entry in fleet.entries if entry not in lost]
-    for entry in lost:
-        if entry.popen is not None:
-            entry.popen.kill()
-    fleet.log.add("killed", entries=[entry.name for entry in lost])
-    late = 0
+    late = lost = 0
 
     async def send_one(entry: fleet_lib.Entry) -> None:
-        nonlocal late
-        sent_at = loop.time() - acknowledged
+        nonlocal late, lost
+        sent_at = loop.time() - began
         answer = await fleet_lib.ask(fleet, entry, "/pay/1", method="POST")
-        ran_at = fleet.log.count("run", id=answer.request_id, service=old)
-        if ran_at and sent_at > APPLY_SECONDS:
+        ran = fleet.log.count("run", server=leaving.name, id=answer.request_id)
+        if ran and sent_at > DRAIN_SECONDS:
             late += 1
+            lost += answer.status != 200
 
-    tasks: list[asyncio.Task[None]] = []
-    restarted = False
-    while loop.time() - acknowledged < APPLY_SECONDS + 2.0:
-        if not restarted and loop.time() - acknowledged >= DOWN_SECONDS:
-            restarted = True
-            for entry in lost:
-                if entry.popen is not None:
-                    entry.popen.wait()
-                fleet.start_entry(entry)
+    tasks = []
+    while loop.time() - began < SERVES_ON_SECONDS + 1.0:
         tasks.extend(
-            asyncio.create_task(send_one(entry))
-            for entry in (left if trouble else fleet.entries[:4])
+            asyncio.create_task(send_one(entry)) for entry in fleet.entries[1:]
         )
         await asyncio.sleep(PAUSE_SECONDS)
     await asyncio.gather(*tasks)
-    fleet.log.add("round", late=late)
-    return late
+    return late, lost
 
 
 async def play(fleet: fleet_lib.Fleet, *, trouble: bool) -> int:
-    """Lose half of the entries right after a change, a few times."""
-    fleet.store.put("op/config", configuration(7, SERVICES[0]))
-    for service in SERVICES * 2:
-        await fleet.add_member(service, work_seconds=0.01, slots=16)
+    """Remove the entry of a server while watches are cut."""
+    route = fleet_lib.route("/pay/", "ledger", "unsafe")
+    fleet.store.put("op/config", fleet_lib.configuration(7, [route]))
+    leaving = await fleet.add_member("ledger", work_seconds=0.1)
+    for _ in range(3):
+        await fleet.add_member("ledger", work_seconds=0.1)
+    # The entry with the first address reads the store for its zone.
     fleet.entries.sort(key=lambda entry: f"127.0.0.1:{entry.control}")
-    readers: dict[str, float] = {}
-    await follow_store(fleet, readers)
+    reader = fleet.entries[0]
+    link = proxy_lib.Proxy((fleet_lib.HOST, fleet.store_port))
+    port = fleet_lib.free_port()
+    await link.start(fleet_lib.HOST, port)
+    fleet.store_port_of[reader.name] = port
     for entry in fleet.entries:
         fleet.start_entry(entry)
         await asyncio.sleep(START_PAUSE_SECONDS)
     for entry in fleet.entries:
         if not await fleet.wait_ready(entry):
-            return CANNOT_RUN
-    late = 0
-    for number in range(ROUNDS):
-        await asyncio.sleep(QUIET_SECONDS)
-        late += await change(fleet, readers, number, trouble=trouble)
-    fleet.log.add("verdict", late=late)
-    return BROKEN if late else HELD
+            return fleet_lib.CANNOT_RUN
+    await asyncio.sleep(QUIET_SECONDS)
+    if trouble:
+        link.reset_all()
+        fleet.log.add("connections reset", entry=reader.name)
+    await asyncio.sleep(LEAVES_AFTER_SECONDS)
+    if leaving.beating is not None:
+        leaving.beating.cancel()
+    fleet.store.delete(f"servers/{leaving.name}")
+    fleet.log.add("entry removed", server=leaving.name)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
 
+    async def end() -> None:
+        await asyncio.sleep(SERVES_ON_SECONDS)
+        fleet.log.add("server ends", server=leaving.name)
+        await leaving.close()
 
-async def main() -> int:
-    """Run the case once."""
-    fleet = await fleet_lib.create_fleet(CASE, entries=ENTRIES)
-    try:
-        return await play(fleet, trouble=os.environ.get("TROUBLE") != "0")
-    finally:
-        await fleet.stop()
-        fleet.log.write()
+    ending = asyncio.create_task(end())
+    late, lost = await send_all(fleet, leaving, began)
+    await ending
+    await link.close()
+    fleet.log.add("verdict", late_requests=late, lost=lost, resets=link.resets)
+    return fleet_lib.BROKEN if late else fleet_lib.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(fleet_lib.run_case(CASE, play, entries=3))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -23,6 +23,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+# Exit statuses of the scripts.
+HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 START_SECONDS = 20.0
 GRACE_SECONDS = 6.0
 ROUTE_HOST = "shop.example"
@@ -311,3 +313,34 @@
     )
     answer.request_id = request_id
     return answer
+
+
+Play = abc.Callable[..., abc.Awaitable[int]]
+
+
+def run_case(case: pathlib.Path, play: Play, *, entries: int) -> int:
+    """Play a case once; return the exit status of its script.
+
+    Args:
+        case: Folder of the case, in which `record.txt` is written.
+        play: Plays it with a fleet, and with or without its trouble.
+        entries: Number of entries.
+    """
+
+    async def run() -> int:
+        fleet = await create_fleet(case, entries)
+        task = asyncio.current_task()
+        if task is not None:
+            # A script that takes too long ends its processes as well.
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        try:
+            return await play(fleet, trouble=os.environ.get("TROUBLE") != "0")
+        finally:
+            await fleet.stop()
+            fleet.log.write()
+
+    try:
+        return asyncio.run(run())
+    except (OSError, asyncio.CancelledError):
+        return CANNOT_RUN
