Log how old removals are when they take force, and which are held

Callers' requests reached targets that had left, and the log told neither how long the store had known of a removal nor that a reader held it back. target.registration now has the greatest age that the news can have (age), and target.removal_held says why a removal waits and for how long. A registration that names no target to use is logged once for each revision.

No decision changes.

--- a/src/agateshelf/core/feed/adoption.py
+++ b/src/agateshelf/core/feed/adoption.py
@@ -96,9 +96,20 @@
 
 
 def publish_changes(
-    state: core_state.State, changed: list[directory_models.Item], source: str
+    state: core_state.State,
+    changed: list[directory_models.Item],
+    source: str,
+    age: float | None = None,
 ) -> list[effects.Effect]:
-    """Post an event for changed registrations and log them."""
+    """Post an event for changed registrations and log them.
+
+    Args:
+        state: State of the entry.
+        changed: Registrations and removals that were adopted.
+        source: Where they came from, for the log.
+        age: Greatest age that they can have, in seconds; None if it is not
+            known.
+    """
     if not changed:
         return []
     state.pending_events.append(
@@ -109,12 +120,15 @@
             ("targets", len(changed)),
             ("known", len(state.directory.targets)),
             ("source", source),
+            ("age", age),
         )
         return [effects.LogEvent("targets.registrations", details=details)]
-    return [_log_event_of(item, source) for item in changed]
+    return [_log_event_of(item, source, age) for item in changed]
 
 
-def _log_event_of(item: directory_models.Item, source: str) -> effects.LogEvent:
+def _log_event_of(
+    item: directory_models.Item, source: str, age: float | None
+) -> effects.LogEvent:
     match item:
         case directory_models.Registration():
             status = "draining" if item.draining else "ready"
@@ -130,5 +144,6 @@
             ("state", status),
             ("revision", item.revision),
             ("source", source),
+            ("age", age),
         ),
     )
--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -49,6 +49,8 @@
 BUSY_WATCH_PAUSE_SECONDS: Final = 0.6
 # A watch that returns changes so soon after the last one that did is busy.
 BUSY_WATCH_SECONDS: Final = 1.0
+# Time within which a change reaches a reader whose watch is pending.
+WATCH_DELAY_SECONDS: Final = 0.5
 # Interval of a reader's checks that the store still answers, and their
 # timeout. Together with the time in which a neighbour takes over they stay
 # within the 2 s within which a change must be in force. A check is a stale
--- a/src/agateshelf/core/feed/handling.py
+++ b/src/agateshelf/core/feed/handling.py
@@ -59,8 +59,9 @@
 def on_due(state: core_state.State, now: float) -> Effects:
     """Send a heartbeat, replace a silent reader, or retry failed reads."""
     _schedule(state, now)
+    due, made_after = removals.take_due(state, now)
     emitted = reading.adopt_items(
-        state, now, removals.take_due(state, now), const.SOURCE_DEFERRED
+        state, now, due, const.SOURCE_DEFERRED, made_after=made_after
     )
     emitted.extend(evacuation.on_due(state, now, const.SOURCE_DEFERRED))
     emitted.extend(proof_requests.on_due(state, now))
--- a/src/agateshelf/core/feed/messages.py
+++ b/src/agateshelf/core/feed/messages.py
@@ -74,6 +74,8 @@
         proof_version: Version of these routes.
         proof_at: Position at which these routes were written; 0 if that is not
             known, so that the answer proves nothing.
+        change_age: Greatest age that the changes can have, in seconds; None if
+            it is not known.
     """
 
     wire_name: ClassVar[str] = "FeedNews"
@@ -91,3 +93,4 @@
     proof_age: float | None = None
     proof_version: int = 0
     proof_at: int = 0
+    change_age: float | None = None
--- a/src/agateshelf/core/feed/models.py
+++ b/src/agateshelf/core/feed/models.py
@@ -73,6 +73,9 @@
     Attributes:
         phase: What the feed is doing with it.
         request: Number of the latest request for it.
+        requested_at: Time at which that was sent.
+        stale: Whether its answer may be some seconds old.
+        known_at: Time as of which all its changes in the store are known here.
         revision: Revision up to which it was read.
         failures: Failed requests in a row.
         retry_at: Time before which no request is sent.
@@ -81,6 +84,9 @@
 
     phase: Phase = Phase.IDLE
     request: int = 0
+    requested_at: float = -math.inf
+    stale: bool = False
+    known_at: float = -math.inf
     revision: int = 0
     failures: int = 0
     retry_at: float = 0.0
@@ -94,10 +100,12 @@
     Attributes:
         removal: The removal.
         until: Time at which it takes effect.
+        made_after: Earliest time at which it can have been made.
     """
 
     removal: directory_models.Removal
     until: float
+    made_after: float
 
 
 class ProofStage(enum.Enum):
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -1,5 +1,7 @@
 """Reads and watches of the store, their retries, and their answers."""
 
+import math
+
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import positions
@@ -13,6 +15,7 @@
 from agateshelf.core.feed import adoption
 from agateshelf.core.feed import checking
 from agateshelf.core.feed import const
+from agateshelf.core.feed import freshness
 from agateshelf.core.feed import models
 from agateshelf.core.feed import proof
 from agateshelf.core.feed import relaying
@@ -27,6 +30,7 @@
     feed.is_reader = True
     feed.store_unresponsive = False
     feed.relayed_at = state.directory.revision
+    freshness.note_takeover(feed)
     silent_for = round(now - feed.synced_at, 3)
     emitted: Effects = [
         effects.LogEvent(
@@ -84,25 +88,30 @@
     state: core_state.State, now: float, topic: models.Topic, *, stale: bool
 ) -> Effects:
     """Request the whole content of a topic from the store."""
-    number = _next_request(state, topic, models.Phase.READING)
+    number = _next_request(state, now, topic, models.Phase.READING)
+    state.feed.topics[topic].stale = stale
     if topic is models.Topic.ROUTES and not stale:
         state.feed.proof.reads[number] = now
     return [effects.ReadFeed(number, topic, stale, const.READ_TIMEOUT_SECONDS)]
 
 
-def _watch(state: core_state.State, topic: models.Topic) -> Effects:
-    number = _next_request(state, topic, models.Phase.WATCHING)
+def _watch(state: core_state.State, now: float, topic: models.Topic) -> Effects:
+    number = _next_request(state, now, topic, models.Phase.WATCHING)
     after = state.feed.topics[topic].revision
     return [effects.WatchFeed(number, topic, after, const.WATCH_SECONDS)]
 
 
 def _next_request(
-    state: core_state.State, topic: models.Topic, phase: models.Phase
+    state: core_state.State,
+    now: float,
+    topic: models.Topic,
+    phase: models.Phase,
 ) -> int:
     feed = state.feed
     feed.last_request += 1
     topic_state = feed.topics[topic]
     topic_state.phase = phase
+    topic_state.requested_at = now
     feed.topic_of.pop(topic_state.request, None)
     topic_state.request = feed.last_request
     feed.topic_of[feed.last_request] = topic
@@ -191,7 +200,7 @@
     if not state.feed.is_reader or state.stopping:
         return []
     if not _has_changes(answer):
-        return _watch(state, topic)
+        return _watch(state, now, topic)
     topic_state = state.feed.topics[topic]
     topic_state.phase = models.Phase.WATCHING
     due = models.WatchResumeDue(topic, topic_state.request)
@@ -222,7 +231,7 @@
 
 
 def on_watch_resume_due(
-    state: core_state.State, event: models.WatchResumeDue
+    state: core_state.State, now: float, event: models.WatchResumeDue
 ) -> Effects:
     """Watch a topic again, unless a stop or another request came between."""
     topic_state = state.feed.topics[event.topic]
@@ -230,7 +239,7 @@
         return []
     if topic_state.request != event.request:
         return []
-    return _watch(state, event.topic)
+    return _watch(state, now, event.topic)
 
 
 def _on_unavailable(
@@ -284,6 +293,8 @@
     topic_state = state.feed.topics[topic]
     restored = _note_era(state, now, topic_state, answer.revision)
     topic_state.revision = max(topic_state.revision, answer.revision)
+    made_after = freshness.made_after(topic_state, now, answer)
+    freshness.note_answer(topic_state, now, answer)
     if topic is models.Topic.ROUTES:
         proof.note_era(state, now, answer.revision)
         before = state.routes.table
@@ -300,11 +311,16 @@
     items = renewals.take_changes(
         state.directory, now, items, state.feed.deferred_removals
     )
-    items = removals.defer(state, now, items)
+    items, held = removals.defer(state, now, items, made_after)
     emitted = adopt_items(
-        state, now, items, const.SOURCE_STORE, answer.revision
+        state,
+        now,
+        items,
+        const.SOURCE_STORE,
+        answer.revision,
+        made_after=made_after,
     )
-    return [*restored, *emitted]
+    return [*restored, *held, *emitted]
 
 
 def _adopt_evacuations(
@@ -361,12 +377,25 @@
     items: list[directory_models.Item],
     source: str,
     revision: int = 0,
+    *,
+    made_after: float = -math.inf,
 ) -> Effects:
-    """Adopt registrations and relay those that changed to the neighbours."""
+    """Adopt registrations and relay those that changed to the neighbours.
+
+    Args:
+        state: State of the entry.
+        now: Current time in seconds.
+        items: Registrations and removals.
+        source: Where they came from, for the log.
+        revision: Position up to which the store was read; 0 if it wasn't.
+        made_after: Earliest time at which the oldest of them can have been
+            made.
+    """
     changed = adoption.adopt_targets(state, now, items)
     state.directory.revision = max(state.directory.revision, revision)
-    emitted = adoption.publish_changes(state, changed, source)
-    emitted.extend(relaying.relay(state, None, tuple(changed)))
+    age = freshness.age_of(made_after, now)
+    emitted = adoption.publish_changes(state, changed, source, age)
+    emitted.extend(relaying.relay(state, None, tuple(changed), age))
     return emitted
 
 
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -127,8 +127,17 @@
     state: core_state.State,
     table: route_models.RouteTable | None,
     changed: tuple[directory_models.Item, ...],
+    change_age: float | None = None,
 ) -> Effects:
-    """Send changes to the neighbours if this entry is the reader."""
+    """Send changes to the neighbours if this entry is the reader.
+
+    Args:
+        state: State of the entry.
+        table: The routes, if they changed.
+        changed: Registrations and removals.
+        change_age: Greatest age that these can have, in seconds; None if it is
+            not known.
+    """
     if not state.feed.is_reader or (table is None and not changed):
         return []
     targets, removed = updates.divide(state, changed)
@@ -139,6 +148,7 @@
         table=table,
         targets=targets,
         removals=removed,
+        change_age=change_age,
     )
     state.feed.relayed_at = state.directory.revision
     return send(neighbours(state), update)
@@ -364,7 +374,11 @@
         )
     )
     changed = adoption.adopt_targets(state, now, items)
-    emitted.extend(adoption.publish_changes(state, changed, const.SOURCE_PEER))
+    emitted.extend(
+        adoption.publish_changes(
+            state, changed, const.SOURCE_PEER, update.change_age
+        )
+    )
     if update.token:
         proof.on_answer(state, now, update)
     is_neighbour = _is_neighbour(state, peer)
--- a/src/agateshelf/core/feed/removals.py
+++ b/src/agateshelf/core/feed/removals.py
@@ -6,6 +6,9 @@
 deferred until the targets have had time to register again.
 """
 
+import math
+
+from agateshelf.core import effects
 from agateshelf.core import state as core_state
 from agateshelf.core.directory import handling as directory
 from agateshelf.core.directory import models as directory_models
@@ -14,25 +17,55 @@
 
 
 def defer(
-    state: core_state.State, now: float, items: list[directory_models.Item]
-) -> list[directory_models.Item]:
-    """Return the items to adopt now; doubtful removals are deferred."""
+    state: core_state.State,
+    now: float,
+    items: list[directory_models.Item],
+    made_after: float,
+) -> tuple[list[directory_models.Item], list[effects.Effect]]:
+    """Defer doubtful removals; return the items to adopt now, and log lines.
+
+    Args:
+        state: State of the entry.
+        now: Current time in seconds.
+        items: Registrations and removals that were read.
+        made_after: Earliest time at which they can have been made.
+    """
     feed = state.feed
     for item in items:
         feed.deferred_removals.pop(item.id, None)
     seconds = _defer_seconds(state, now, items)
     if seconds <= 0:
-        return items
+        return items, []
     adopted: list[directory_models.Item] = []
+    emitted: list[effects.Effect] = []
     for item in items:
         match item:
             case directory_models.Removal() if _may_have_expired(state, item):
                 feed.deferred_removals[item.id] = models.DeferredRemoval(
-                    item, now + seconds
+                    item, now + seconds, made_after
                 )
+                emitted.append(_log_held(state, now, item, now + seconds))
             case _:
                 adopted.append(item)
-    return adopted
+    return adopted, emitted
+
+
+def _log_held(
+    state: core_state.State,
+    now: float,
+    removal: directory_models.Removal,
+    until: float,
+) -> effects.LogEvent:
+    after_outage = now < state.feed.removal_grace_until
+    return effects.LogEvent(
+        "target.removal_held",
+        details=(
+            ("target", removal.id),
+            ("revision", removal.revision),
+            ("reason", "outage" if after_outage else "many"),
+            ("seconds", round(until - now, 3)),
+        ),
+    )
 
 
 def _may_have_expired(
@@ -60,8 +93,10 @@
 
 def take_due(
     state: core_state.State, now: float
-) -> list[directory_models.Item]:
-    """Return the deferred removals that are due.
+) -> tuple[list[directory_models.Item], float]:
+    """Return the deferred removals that are due, and when they were made.
+
+    The time is the earliest at which the oldest of them can have been made.
 
     Their revision is raised to the current one, since they take effect now.
     A removal is dropped if its target has registered again meanwhile, no
@@ -83,4 +118,5 @@
             continue
         revision = max(removal.revision, state.directory.revision)
         items.append(directory_models.Removal(removal.id, revision))
-    return items
+    made_after = min((held.made_after for held in due), default=-math.inf)
+    return items, made_after
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -199,7 +199,7 @@
                 *persistence.on_due(state, now),
             ]
         case feed_models.WatchResumeDue():
-            return reading.on_watch_resume_due(state, event)
+            return reading.on_watch_resume_due(state, now, event)
         case feed_models.ReaderResigned():
             return feed.on_reader_resigned(state, now)
         case feed_models.TargetsReadWanted():
--- a/src/agateshelf/platform/feed.py
+++ b/src/agateshelf/platform/feed.py
@@ -8,6 +8,7 @@
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import positions
+from agateshelf.core.directory import models as directory_models
 from agateshelf.core.evacuation import models as evacuation_models
 from agateshelf.core.feed import models as feed_models
 from agateshelf.core.routes import models as route_models
@@ -125,9 +126,22 @@
         eras.locate(page.items, page.era)
         return feed_models.Snapshot(
             positions.position_of(page.era, page.current_rev),
-            targets=documents.decode_targets(page.items),
+            targets=self._decode_targets(page.items),
         )
 
+    def _decode_targets(
+        self, stored: list[items.Item]
+    ) -> tuple[directory_models.Item, ...]:
+        """Decode registrations; log each unreadable one once."""
+        decoded = documents.decode_targets(stored)
+        for item, target in zip(stored, decoded, strict=True):
+            is_absent = isinstance(target, directory_models.Removal)
+            if is_absent and not item.tombstone:
+                self._warn_once(
+                    item.key, item.revision, "names no target to use"
+                )
+        return decoded
+
     async def watch(
         self, effect: effects.WatchFeed, post: posting.Post
     ) -> None:
@@ -170,7 +184,7 @@
                     evacuations=self._decode_evacuations(body.events),
                 )
             case feed_models.Topic.TARGETS:
-                targets = documents.decode_targets(body.events)
+                targets = self._decode_targets(body.events)
                 return feed_models.Changes(body.current_rev, targets=targets)
 
     async def stop(self) -> None:
--- a/tests/platform/test_feed_client.py
+++ b/tests/platform/test_feed_client.py
@@ -16,6 +16,7 @@
 from agateshelf.core.feed import models
 from agateshelf.platform import client as platform_client
 from agateshelf.platform import feed
+from agateshelf.platform import items
 
 ROUTES = models.Topic.ROUTES
 TARGETS = models.Topic.TARGETS
@@ -146,6 +147,18 @@
     assert whole == "Key 'op/config': unreadable as a whole."
 
 
+def test_a_registration_that_names_no_target_is_logged_once_for_each_revision():
+    client = feed.FeedClient(platform_client.Client(""))
+    gone = items.Item("servers/i-2", 4, tombstone=True)
+    with logbook.TestHandler() as log:
+        for revision in (5, 5, 6):
+            odd = samples.item({"service": 3}, "servers/i-1", revision)
+            client._decode_targets([odd, gone])
+    assert [record.message for record in log.records] == [
+        "Key 'servers/i-1': names no target to use."
+    ] * 2
+
+
 def test_routes_are_decoded_anew_only_if_they_changed():
     # Of two writes in one revision the position differs by the era.
     client = feed.FeedClient(platform_client.Client(""))
