Take data that is nested too deeply for unreadable in all decoders

Callers' requests went to targets that had left, and later to none: one entry under servers/ with lists nested 2,000 deep ended the task that reads the registrations, as the decoder raises a RecursionError for it and only some callers caught that.

The errors that any data of others can raise are now named once and caught by every decoder: registrations, evacuations, answers of the store, stored crashes and claims, records and changes of the configuration, and relayed answers. A stored crash with a time that is not a number is skipped too.

--- a/script/check_imports.py
+++ b/script/check_imports.py
@@ -15,7 +15,12 @@
 PRODUCT = "agateshelf"
 STAND_INS = "agateshelf_standins"
 CORE = "agateshelf.core"
-CORE_ALLOWED = ("agateshelf.core", "agateshelf.const", "agateshelf.exceptions")
+CORE_ALLOWED = (
+    "agateshelf.core",
+    "agateshelf.const",
+    "agateshelf.decoding",
+    "agateshelf.exceptions",
+)
 CORE_FORBIDDEN = frozenset(
     {"curio", "h11", "socket", "time", "zmq", "logbook", "statsd", "pydantic"}
 )
--- a/src/agateshelf/cli/explain.py
+++ b/src/agateshelf/cli/explain.py
@@ -6,6 +6,7 @@
 import click
 import msgspec
 
+from agateshelf import decoding
 from agateshelf.cli import output
 
 # Changes of a target's state affect later requests to it. Those within this
@@ -61,7 +62,7 @@
                 continue
             try:
                 line = msgspec.json.decode(raw[start:], type=Line)
-            except msgspec.MsgspecError:
+            except decoding.ERRORS:
                 continue
             if "event" in line and "t" in line:
                 yield line
--- a/src/agateshelf/core/claims/reading.py
+++ b/src/agateshelf/core/claims/reading.py
@@ -1,7 +1,6 @@
 """Catching up with a shard's log: its head and the segments before that."""
 
-import msgspec
-
+from agateshelf import decoding
 from agateshelf.core import effects
 from agateshelf.core import state as core_state
 from agateshelf.core import storage
@@ -39,7 +38,7 @@
         case storage.Found(entry):
             try:
                 head, version = encoding.decode(entry.value), entry.version
-            except msgspec.MsgspecError:
+            except decoding.ERRORS:
                 return _fail(state, now, shard, answer)
         case _:
             return _fail(state, now, shard, answer)
@@ -74,7 +73,7 @@
             break
         try:
             segment = encoding.decode(entry.value)
-        except msgspec.MsgspecError:
+        except decoding.ERRORS:
             return _fail(state, now, shard, answer)
         index.add_records(shard, now, segment.records)
     if answer.more and answer.key_values:
--- a/src/agateshelf/core/configuration/records.py
+++ b/src/agateshelf/core/configuration/records.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from agateshelf import decoding
 from agateshelf import exceptions
 from agateshelf.core.configuration import const
 from agateshelf.core.configuration import content
@@ -52,7 +53,7 @@
     """
     try:
         return msgspec.json.decode(value, type=patch_models.Head)
-    except msgspec.MsgspecError as exc:
+    except decoding.ERRORS as exc:
         raise RecordError(str(exc)) from None
 
 
@@ -90,7 +91,7 @@
     """Decode a history record; None if the value is not a valid one."""
     try:
         return msgspec.json.decode(value, type=results.HistoryRecord)
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return None
 
 
--- a/src/agateshelf/core/configuration/replication.py
+++ b/src/agateshelf/core/configuration/replication.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from agateshelf import decoding
 from agateshelf.core import effects
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
@@ -267,7 +268,7 @@
         parts.update(active.parts)
     try:
         changes = _decoder.decode(_decompress(data))
-    except (msgspec.MsgspecError, zlib.error):
+    except (*decoding.ERRORS, zlib.error):
         return None
     for name in changes.removed:
         parts.pop(name, None)
--- a/src/agateshelf/core/poison/persistence.py
+++ b/src/agateshelf/core/poison/persistence.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from agateshelf import decoding
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import state as core_state
@@ -253,7 +254,7 @@
     for item in page.key_values:
         try:
             stored = _decoder.decode(item.value)
-        except msgspec.MsgspecError as exc:
+        except decoding.ERRORS as exc:
             emitted.append(
                 effects.LogWarning(
                     f"The stored crashes under {item.key} are invalid: {exc}."
@@ -268,9 +269,9 @@
     state: core_state.State, now: float, stored: StoredRequest
 ) -> Effects:
     left = stored.until - state.unix_offset - now
-    ttl = min(left, const.CRASH_TTL_SECONDS)
-    if ttl <= 0:
+    if not math.isfinite(left) or left <= 0:
         return []
+    ttl = min(left, const.CRASH_TTL_SECONDS)
     emitted: Effects = []
     for report in stored.reports:
         fingerprint = report.fingerprint
--- a/src/agateshelf/daemon/administration/changes.py
+++ b/src/agateshelf/daemon/administration/changes.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from agateshelf import decoding
 from agateshelf import exceptions
 from agateshelf.core import effects
 from agateshelf.core import events
@@ -216,7 +217,7 @@
 def _read_operations(request: messages.Request) -> Any:
     try:
         return msgspec.json.decode(request.body)
-    except (msgspec.DecodeError, RecursionError, UnicodeError):
+    except decoding.ERRORS:
         raise _InvalidRequestError(
             http.HTTPStatus.BAD_REQUEST,
             "the body must be a JSON Patch (RFC 6902)",
--- a/src/agateshelf/daemon/peers/codec.py
+++ b/src/agateshelf/daemon/peers/codec.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from agateshelf import decoding
 from agateshelf import exceptions
 from agateshelf.core.dispatch import messages as dispatch_messages
 from agateshelf.core.feed import messages as feed_messages
@@ -145,6 +146,6 @@
                 f"unsupported message type or version: {envelope.type[:40]!r}"
             )
         message = decoder.decode(envelope.payload)
-    except (msgspec.MsgspecError, RecursionError, UnicodeError) as exc:
+    except decoding.ERRORS as exc:
         raise MessageError(str(exc)) from None
     return Received(envelope.sender, envelope.epoch, envelope.sequence, message)
--- a/src/agateshelf/daemon/peers/parts.py
+++ b/src/agateshelf/daemon/peers/parts.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from agateshelf import decoding
 from agateshelf.core.feed import messages as feed_messages
 from agateshelf.core.peers import models
 from agateshelf.daemon.peers import codec
@@ -87,7 +88,7 @@
         payload = b"".join(found.parts[i] for i in range(found.count))
         try:
             return _decoder.decode(payload)
-        except (msgspec.MsgspecError, RecursionError, UnicodeError) as exc:
+        except decoding.ERRORS as exc:
             raise codec.MessageError(str(exc)) from None
 
     def _find(
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from agateshelf import const
+from agateshelf import decoding
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core.outcomes import const as outcome_const
@@ -417,7 +418,7 @@
         return
     try:
         reason = _problem_decoder.decode(body).title
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         reason = ""
     raise attempts.RelayRefusedError(
         reached_target=reason == outcome_const.REASON_TARGET_FAILED,
--- a/src/agateshelf/documents/configuration.py
+++ b/src/agateshelf/documents/configuration.py
@@ -8,6 +8,7 @@
 import msgspec
 import pydantic
 
+from agateshelf import decoding
 from agateshelf import exceptions
 from agateshelf.core.configuration import content
 from agateshelf.core.configuration import models
@@ -154,7 +155,7 @@
             raise exceptions.DocumentError(f"/{section}", "unknown section")
         try:
             document[section][name] = msgspec.json.decode(part.value)
-        except msgspec.DecodeError:
+        except decoding.ERRORS:
             raise exceptions.DocumentError(
                 f"/{part.name}", "must be valid JSON"
             ) from None
--- a/src/agateshelf/documents/structs.py
+++ b/src/agateshelf/documents/structs.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from agateshelf import decoding
 from agateshelf import exceptions
 
 StructT = TypeVar("StructT", bound="StrictStruct")
@@ -29,7 +30,7 @@
     """
     try:
         return msgspec.json.decode(text, type=kind)
-    except (msgspec.MsgspecError, UnicodeError) as exc:
+    except decoding.ERRORS as exc:
         raise _to_document_error(exc) from None
 
 
--- a/src/agateshelf/platform/client.py
+++ b/src/agateshelf/platform/client.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns import result
 
+from agateshelf import decoding
 from agateshelf.core import positions
 from agateshelf.daemon import fetching
 from agateshelf.platform import const
@@ -200,5 +201,5 @@
         return fetching.NoResponse(f"status {answer.status}")
     try:
         return msgspec.json.decode(answer.body, type=body)
-    except (msgspec.MsgspecError, UnicodeError) as exc:
+    except decoding.ERRORS as exc:
         return fetching.NoResponse(f"invalid body: {exc}")
--- a/src/agateshelf/platform/documents.py
+++ b/src/agateshelf/platform/documents.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from agateshelf import decoding
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.evacuation import models as evacuation_models
 from agateshelf.core.routes import const as route_const
@@ -137,7 +138,7 @@
         return removal
     try:
         decoded = _target_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeError):
+    except decoding.ERRORS:
         return removal
     if decoded.state not in (const.STATE_READY, const.STATE_DRAINING):
         return removal
@@ -159,7 +160,7 @@
     """Return the seconds of a warm-up; an invalid one removes no target."""
     try:
         milliseconds = _milliseconds_decoder.decode(value)
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return notice_const.INVALID_WARMUP
     return milliseconds / const.MILLISECONDS_PER_SECOND
 
@@ -240,7 +241,7 @@
         return False
     try:
         msgspec.json.decode(data, type=dict)
-    except (msgspec.MsgspecError, UnicodeError):
+    except decoding.ERRORS:
         return False
     return True
 
@@ -254,7 +255,7 @@
         return None
     try:
         decoded = _configuration_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeError, RecursionError):
+    except decoding.ERRORS:
         return None
     workspaces: tuple[route_models.Workspace, ...] | None = None
     bad_tenants: tuple[str, ...] = ()
--- a/src/agateshelf/platform/store.py
+++ b/src/agateshelf/platform/store.py
@@ -6,6 +6,7 @@
 import logbook
 import msgspec
 
+from agateshelf import decoding
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import storage
@@ -164,7 +165,7 @@
         failure = msgspec.json.decode(
             answer.body, type=items.PreconditionFailure
         )
-    except (msgspec.MsgspecError, UnicodeError) as exc:
+    except decoding.ERRORS as exc:
         _log.warning(
             "Invalid answer to a refused change of key {}: {}.", key, exc
         )
--- a/src/agateshelf/platform/tenants.py
+++ b/src/agateshelf/platform/tenants.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from agateshelf import decoding
 from agateshelf.core.routes import models as route_models
 from agateshelf.platform import fields
 
@@ -57,7 +58,7 @@
 def _decode_one(raw: msgspec.Raw) -> route_models.Workspace | None:
     try:
         tenant = _tenant_decoder.decode(raw)
-    except (msgspec.MsgspecError, UnicodeError, RecursionError):
+    except decoding.ERRORS:
         return None
     return route_models.Workspace(
         name=tenant.name,
@@ -78,7 +79,7 @@
     """
     try:
         name = _name_decoder.decode(raw).name
-    except (msgspec.MsgspecError, UnicodeError, RecursionError):
+    except decoding.ERRORS:
         return str(position)
     return f"{position} {name!r}"
 
--- a/tests/core/poison/test_crash_persistence.py
+++ b/tests/core/poison/test_crash_persistence.py
@@ -4,12 +4,17 @@
 request that crashes its targets.
 """
 
+import math
+
+import msgspec
 import pytest
 from tests.core import crash_fleet
 
 from agateshelf.core import events
 from agateshelf.core import storage
 from agateshelf.core.poison import const
+from agateshelf.core.poison import messages
+from agateshelf.core.poison import persistence
 from bench import fakestore
 
 DOMAINS = ("boston", "hartford", "portland", "providence")
@@ -125,10 +130,20 @@
     assert len(stored_keys(fleet)) == 1
 
 
-def test_an_invalid_stored_request_does_not_hide_the_others():
+# Nested too deeply for the decoder, and a time that is not a number.
+NESTED = b"\x82\xa5until\x01\xa7unknown" + b"\x91" * 5000 + b"\x90"
+NOT_A_NUMBER = persistence.StoredRequest(
+    math.nan, (messages.CrashReport(b"0" * 16, "t0", 1, "", 1, 9.0),)
+)
+
+
+@pytest.mark.parametrize(
+    "value", [b"?", NESTED, msgspec.msgpack.encode(NOT_A_NUMBER)]
+)
+def test_an_invalid_stored_request_does_not_hide_the_others(value):
     fleet = create_fleet()
     fleet.store.answer(
-        storage.CompareAndSwap(const.KEY_PREFIX + "00", 0, b"?"), fleet.now
+        storage.CompareAndSwap(const.KEY_PREFIX + "00", 0, value), fleet.now
     )
     withhold(fleet)
     lose_all(fleet)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -129,6 +129,30 @@
     assert decoded.warmup == notice_const.INVALID_WARMUP
 
 
+NESTED = b"[" * 5000 + b"]" * 5000
+
+
+@pytest.mark.parametrize("name", [*sorted(TARGET), "unknown"])
+def test_a_deeply_nested_registration_names_no_target_and_the_others_hold(
+    name,
+):
+    # The error of the decoder for it ended the task that reads the store, so
+    # that no entry heard of any target any more.
+    value = json.dumps({**TARGET, name: "@"}).encode().replace(b'"@"', NESTED)
+    good = item(TARGET, "servers/i-2")
+    odd, other = documents.decode_targets([item(value), good])
+    assert odd == directory_models.Removal("i-1", 5)
+    assert isinstance(other, directory_models.Registration)
+
+
+@pytest.mark.parametrize("value", [NESTED, b'{"a":' + NESTED + b"}"])
+def test_a_deeply_nested_evacuation_is_unreadable_and_holds(value):
+    odd = item(value, "op/evacuate/east")
+    assert documents.find_unreadable_evacuations([odd]) == [odd]
+    (change,) = documents.decode_evacuations([odd])
+    assert change.evacuated
+
+
 @hypothesis.given(strategies.binary(max_size=60))
 def test_invalid_registration_counts_as_removed(data):
     (decoded,) = documents.decode_targets([item(data)])
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -5,6 +5,7 @@
 from tests.standins import test_standins
 
 from agateshelf.core import storage
+from agateshelf.daemon import fetching
 from agateshelf.platform import client
 from agateshelf.platform import store
 
@@ -101,3 +102,9 @@
         execute(storage.CompareAndSwap("op/config", 0, b"1"))
         == storage.Rejected()
     )
+
+
+def test_a_conflict_that_is_nested_too_deeply_wrote_nothing():
+    body = b'{"a":' + b"[" * 5000 + b"]" * 5000 + b"}"
+    answer = fetching.Response(412, (), body)
+    assert store._to_conflict(answer, "a") == storage.Rejected()
