Answer each request of the feed, also after an unexpected error

A task that ended by an error posted no answer, and the feed waited for ever while its reader went on to announce that it was current. An unexpected error is now logged, and counts as no answer, which the core retries. The test failed before: the task ended, and nothing was posted.

--- a/src/agateshelf/platform/feed.py
+++ b/src/agateshelf/platform/feed.py
@@ -52,12 +52,20 @@
         await curio.spawn(self._read, effect, post, daemon=True)
 
     async def _read(self, effect: effects.ReadFeed, post: posting.Post) -> None:
+        try:
+            answer = await self._read_topic(effect)
+        except Exception as exc:
+            answer = _report_unexpected(effect, exc)
+        await post(events.FeedAnswered(effect.request, answer))
+
+    async def _read_topic(
+        self, effect: effects.ReadFeed
+    ) -> feed_models.FeedAnswer:
         match effect.topic:
             case feed_models.Topic.ROUTES:
-                answer = await self._read_routes(effect)
+                return await self._read_routes(effect)
             case feed_models.Topic.TARGETS:
-                answer = await self._read_targets(effect)
-        await post(events.FeedAnswered(effect.request, answer))
+                return await self._read_targets(effect)
 
     async def _read_routes(
         self, effect: effects.ReadFeed
@@ -154,6 +162,8 @@
     ) -> None:
         try:
             answer = await self._read_changes(effect)
+        except Exception as exc:
+            answer = _report_unexpected(effect, exc)
         finally:
             self.watches.discard(await curio.current_task())
         await post(events.FeedAnswered(effect.request, answer))
@@ -193,6 +203,14 @@
             await task.cancel(blocking=False)
 
 
+def _report_unexpected(
+    effect: effects.ReadFeed | effects.WatchFeed, exc: Exception
+) -> feed_models.Unavailable:
+    """Log an unexpected error of a request, which the core then retries."""
+    _log.exception("Unexpected error on {}.", effect.topic.value)
+    return feed_models.Unavailable(f"unexpected {type(exc).__name__}")
+
+
 _PREFIXES = {
     feed_models.Topic.ROUTES: const.PREFIX_ROUTES,
     feed_models.Topic.TARGETS: const.PREFIX_TARGETS,
--- a/tests/platform/test_feed_client.py
+++ b/tests/platform/test_feed_client.py
@@ -15,6 +15,7 @@
 from agateshelf.core.evacuation import models as evacuation_models
 from agateshelf.core.feed import models
 from agateshelf.platform import client as platform_client
+from agateshelf.platform import documents
 from agateshelf.platform import feed
 from agateshelf.platform import items
 
@@ -247,6 +248,7 @@
         lambda _path, _query: (404, {}),
         lambda _path, _query: (200, b"not json"),
         lambda _path, _query: (200, {"items": 3}),
+        lambda _path, _query: (200, b'{"a":' + samples.NESTED + b"}"),
         lambda _path, _query: None,
     ],
 )
@@ -318,3 +320,25 @@
         effects.WatchFeed(1, TARGETS, 30, 5.0),
     )
     assert isinstance(answer, models.Unavailable)
+
+
+@pytest.mark.parametrize(
+    "effect",
+    [
+        effects.ReadFeed(1, TARGETS, False, 1.0),
+        effects.WatchFeed(1, TARGETS, 30, 5.0),
+    ],
+)
+def test_an_unexpected_error_of_a_request_is_an_answer(effect, monkeypatch):
+    # Without an answer the feed waits for ever, while its reader goes on to
+    # announce that it is current.
+    def fail(_items):
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(documents, "decode_targets", fail)
+    page = {"items": [], "events": [], "has_more": False, "current_rev": 32}
+    with logbook.TestHandler() as log:
+        answer, _ = run_effect(lambda _path, _query: (200, page), effect)
+    assert isinstance(answer, models.Unavailable)
+    assert "ZeroDivisionError" in answer.reason
+    assert log.has_errors
