Use a registration only if it names an IP address and a port

Callers' requests for a target with a port above 65535 got 504 at their deadline or a closed connection, with good targets idle: the registration was taken, and the error of connect() ended the task of the attempt without a word to the core. '1.1:80' was taken as well, and read as 1.0.0.1 by the resolver.

Registrations are now checked for one host's IPv4 address and a port in range; others name no target. An attempt to such an address, which an entry of an earlier build may relay, fails as not run, and any unexpected error in an attempt ends it at once.

--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -5,6 +5,7 @@
 
 import curio
 import h11
+import logbook
 import msgspec
 
 from agateshelf import const
@@ -25,6 +26,8 @@
 from agateshelf.daemon.targets import pool
 from agateshelf.daemon.targets import requests
 
+_log = logbook.Logger("targets")
+
 CONNECT_TIMEOUT_SECONDS = 1.0
 # With entries that may relay, a connection that takes longer is given up while
 # there is time for the way round.
@@ -125,6 +128,10 @@
             kind = running.disconnect_kind()
         except (h11.LocalProtocolError, attempts.TooLateError):
             kind = outcome_models.FailureKind.UNSENT
+        except Exception:
+            # Without its end, the call would wait until its deadline.
+            _log.exception("Unexpected error in an attempt.")
+            kind = running.disconnect_kind()
         finally:
             await self._release_resources(running)
         if (
--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -63,10 +63,13 @@
         """Open the connection.
 
         Raises:
-            OSError: The target did not accept it.
+            OSError: The target did not accept it, or has no valid address.
         """
         host, _, port = self.address.rpartition(":")
-        await self.sock.connect((host.strip("[]"), int(port)))
+        try:
+            await self.sock.connect((host.strip("[]"), int(port)))
+        except (OverflowError, ValueError) as exc:
+            raise OSError(f"invalid address {self.address!r}: {exc}") from None
 
     async def send(self, data: bytes) -> None:
         """Send bytes.
--- a/src/agateshelf/platform/documents.py
+++ b/src/agateshelf/platform/documents.py
@@ -27,7 +27,7 @@
 
     Attributes:
         service: Name of the service.
-        address: `HOST:PORT`.
+        address: IP address and port.
         zone: Failure domain of the target.
         version: Version given by the target; not used.
         slots: Requests that the target runs at once.
@@ -40,7 +40,7 @@
     """
 
     service: fields.Name
-    address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    address: fields.Address
     zone: str
     version: str
     slots: fields.Positive
@@ -142,6 +142,8 @@
         return removal
     if decoded.state not in (const.STATE_READY, const.STATE_DRAINING):
         return removal
+    if not fields.is_endpoint(decoded.address):
+        return removal
     return directory_models.Registration(
         id=identifier,
         service=decoded.service,
--- a/tests/daemon/targets/test_connections.py
+++ b/tests/daemon/targets/test_connections.py
@@ -10,6 +10,7 @@
 from agateshelf.core import events
 from agateshelf.core.configuration import models
 from agateshelf.core.outcomes import models as outcome_models
+from agateshelf.daemon.targets import load
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 POST = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
@@ -149,6 +150,43 @@
     serve(answer, test, attempt_timeout=4.0)
 
 
+def use_target(address):
+    policy = conftest.create_service(address)
+    return events.ConfigurationRead(
+        models.Configuration(2, {policy.name: policy})
+    )
+
+
+@pytest.mark.parametrize("port", [65536, 99999])
+def test_a_port_out_of_range_is_reported_as_not_run_at_once(serve, port):
+    # An entry of an earlier build may relay such a registration. The error
+    # ended the task of the attempt, and the call waited until its deadline.
+    async def test(rig):
+        await rig.driver.post(use_target(f"127.0.0.1:{port}"))
+        started_at = await curio.clock()
+        got = await ask(rig, POST)
+        assert got.status in (502, 503)
+        assert b"agateshelf-outcome: not-run" in got.head.lower()
+        assert await curio.clock() - started_at < 0.5
+
+    serve(answer, test, attempt_timeout=4.0)
+
+
+def test_an_unexpected_error_ends_an_attempt_at_once(serve, monkeypatch):
+    def fail(*_arguments):
+        raise ZeroDivisionError
+
+    async def test(rig):
+        monkeypatch.setattr(load, "event_of", fail)
+        started_at = await curio.clock()
+        got = await ask(rig, POST)
+        assert got.status == 502
+        assert b"agateshelf-outcome: unknown" in got.head.lower()
+        assert await curio.clock() - started_at < 0.5
+
+    serve(answer, test, attempt_timeout=4.0)
+
+
 @pytest.mark.parametrize(
     ("header", "reused"), [("timeout=2, max=9", False), ("max=2", True)]
 )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -129,6 +129,39 @@
     assert decoded.warmup == notice_const.INVALID_WARMUP
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.1.0.9:0",
+        "10.1.0.9:65536",
+        "10.1.0.9:99999",
+        "1.1:80",
+        "10.1.0.9.1:80",
+        "10.1.0.256:80",
+        "010.1.0.9:80",
+        "10.1..9:80",
+        "0.0.0.0:80",
+        "224.0.0.1:80",
+        "255.255.255.255:80",
+        "10.1.0.9:8080\n",
+        "10.1.0.\u0669:80",
+    ],
+)
+def test_a_registration_names_an_ip_address_and_a_port(address):
+    # A port out of range ended each request for that target by an error, and
+    # a resolver reads a short address as one that nobody named.
+    value = {**TARGET, "address": address}
+    (decoded,) = documents.decode_targets([item(value)])
+    assert decoded == directory_models.Removal("i-1", 5)
+
+
+@pytest.mark.parametrize("address", ["10.1.0.9:1", "127.0.0.1:65535"])
+def test_any_ip_address_and_port_of_a_server_is_used(address):
+    value = {**TARGET, "address": address}
+    (decoded,) = documents.decode_targets([item(value)])
+    assert decoded.address == address
+
+
 NESTED = b"[" * 5000 + b"]" * 5000
 
 
