Keep the loops of an entry running after an unexpected error

A task that ends by an error ends silently. Of the tasks that an entry depends on (timers, deadlines, peers, connections, callers' timeouts, settings) none had anyone who noticed, so that one odd value could leave a process without timers that still accepts calls. Each now starts again after an error, which is logged. A probe or a request to the store that ends by an error counts as unanswered, so that nobody waits for it for ever; both tests failed before.

--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -42,6 +42,7 @@
 from agateshelf.daemon import signals
 from agateshelf.daemon import status
 from agateshelf.daemon import stopping
+from agateshelf.daemon import supervision
 from agateshelf.daemon.callers import exchanges
 from agateshelf.daemon.callers import memory
 from agateshelf.daemon.callers import server as callers
@@ -298,14 +299,19 @@
         (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     )
     async with curio.TaskGroup(wait=None) as group:
-        await group.spawn(driver.run_timers)
-        await group.spawn(driver.targets.run_deadlines)
-        await group.spawn(driver.targets.connections.run)
-        await group.spawn(driver.metrics.run)
+        for name, loop in (
+            ("timers", driver.run_timers),
+            ("deadlines", driver.targets.run_deadlines),
+            ("connections to targets", driver.targets.connections.run),
+            ("metrics", driver.metrics.run),
+            ("callers' timeouts", caller_server.watcher.run),
+            ("relays' timeouts", relay_server.watcher.run),
+        ):
+            await group.spawn(supervision.keep_running, name, loop)
         if driver.traces is not None:
-            await group.spawn(driver.traces.run)
-        await group.spawn(caller_server.watcher.run)
-        await group.spawn(relay_server.watcher.run)
+            await group.spawn(
+                supervision.keep_running, "traces", driver.traces.run
+            )
         driver.awaits_peers = cfg.peers is not None
         await driver.post(create_started(cfg, driver.peers, epoch))
         for other in _create_other_listeners(cfg, driver):
@@ -323,11 +329,13 @@
             peers = driver.peers or create_peers(cfg, driver, epoch)
             if peers is not None:
                 driver.attach_peers(peers)
-                await group.spawn(peers.run, driver.post)
+                await group.spawn(
+                    supervision.keep_running, "peers", peers.run, driver.post
+                )
 
         await opening.open_entry(driver, cfg, start_listener, start_peers)
         reloader = reloading.Reloader(path, driver)
-        await group.spawn(reloader.run)
+        await group.spawn(supervision.keep_running, "settings", reloader.run)
         await _await_stop(stop_signals, reloader)
         _log.info("Stop requested, draining connections.")
         await stopping.stop(
--- a/src/agateshelf/daemon/targets/probing.py
+++ b/src/agateshelf/daemon/targets/probing.py
@@ -60,6 +60,10 @@
                 probed = await self._send_probe(effect)
         except (OSError, h11.ProtocolError, curio.TaskTimeout) as exc:
             _log.debug("Probe of target {} failed: {!r}.", effect.target, exc)
+        except Exception:
+            _log.exception(
+                "Unexpected error in a probe of target {}.", effect.target
+            )
         await post(probed)
 
     async def _send_probe(
--- a/src/agateshelf/platform/store.py
+++ b/src/agateshelf/platform/store.py
@@ -45,7 +45,11 @@
     async def _post_answer(
         self, effect: effects.SendStoreRequest, post: posting.Post
     ) -> None:
-        answer = await self.execute(effect.body, effect.timeout)
+        answer: storage.StoreAnswer = storage.NoAnswer()
+        try:
+            answer = await self.execute(effect.body, effect.timeout)
+        except Exception:
+            _log.exception("Unexpected error in a request to the store.")
         await post(events.StoreAnswered(effect.request, answer))
 
     async def execute(
--- a/tests/daemon/targets/test_probing.py
+++ b/tests/daemon/targets/test_probing.py
@@ -8,6 +8,7 @@
 from agateshelf.core import effects
 from agateshelf.core.target_notices import const as notice_const
 from agateshelf.daemon.targets import probing
+from agateshelf.daemon.targets import short_answers
 from agateshelf.platform import dialect
 
 
@@ -45,6 +46,21 @@
     return http_response(b"ok")
 
 
+def test_an_unexpected_error_in_a_probe_is_no_answer(probe, monkeypatch):
+    # Without an answer the sampler would wait for it for ever.
+    def fail(_data):
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(short_answers, "read", fail)
+
+    async def test(_prober, ask, posted):
+        await ask()
+        await curio.sleep(0.1)
+        assert [event.reached for event in posted] == [False]
+
+    probe(answer, test)
+
+
 def test_a_connection_is_kept_between_probes(probe):
     async def test(prober, ask, posted):
         for _ in range(2):
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -4,6 +4,8 @@
 import pytest
 from tests.standins import test_standins
 
+from agateshelf.core import effects
+from agateshelf.core import events
 from agateshelf.core import storage
 from agateshelf.daemon import fetching
 from agateshelf.platform import client
@@ -108,3 +110,25 @@
     body = b'{"a":' + b"[" * 5000 + b"]" * 5000 + b"}"
     answer = fetching.Response(412, (), body)
     assert store._to_conflict(answer, "a") == storage.Rejected()
+
+
+def test_an_unexpected_error_of_a_request_is_no_answer(monkeypatch):
+    # Without an answer the core would wait for it for ever.
+    async def fail(*_arguments, **_options):
+        raise ZeroDivisionError
+
+    posted = []
+
+    async def post(event):
+        posted.append(event)
+
+    async def run():
+        store_client = store.StoreClient(client.Client("127.0.0.1:9"))
+        await store_client.send(
+            effects.SendStoreRequest(7, storage.Read("a"), 1.0), post
+        )
+        await curio.sleep(0.1)
+
+    monkeypatch.setattr(client.Client, "read_key", fail)
+    curio.run(run)
+    assert posted == [events.StoreAnswered(7, storage.NoAnswer())]
