--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -706,6 +706,7 @@
     | DispatchDecided
     | feed_models.FeedDue
     | feed_models.ReaderResigned
+    | feed_models.RemovalsDue
     | feed_models.OwnReadWanted
     | feed_models.TargetsReadWanted
     | feed_models.StartupDue
--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -58,8 +58,18 @@
 CHECK_SECONDS: Final = 0.8
 CHECK_TIMEOUT_SECONDS: Final = 0.4
 # Registrations that expire during an outage of the store are back about 2 s
-# after its end (the platform's description of target registration).
+# after its end (the platform's description of target registration). They expire
+# after so many intervals without a heartbeat.
 OUTAGE_GRACE_SECONDS: Final = 2.0
+EXPIRY_HEARTBEATS: Final = 3
+# Time from the end of an outage until the platform counts the store as stable
+# again, so that targets that leave must be known.
+STABLE_SECONDS: Final = 3.0
+# Removals are in force this much before they have to be: entries are told, and
+# requests that are on their way arrive.
+IN_FORCE_MARGIN_SECONDS: Final = 0.4
+# Age that the store's latest answer to the sender of a heartbeat can have.
+HEARTBEAT_ANSWER_SECONDS: Final = CHECK_SECONDS + CHECK_TIMEOUT_SECONDS
 # Removals that arrive together and are this share of all targets, and at least
 # this many, are taken for expired registrations and are deferred. The delay is
 # below the 2 s within which a drain must be in force.
--- a/src/agateshelf/core/feed/handling.py
+++ b/src/agateshelf/core/feed/handling.py
@@ -32,6 +32,7 @@
     of a second. Other first reads may be stale, which costs a tenth.
     """
     feed = state.feed
+    feed.store_heard_at = now
     feed.synced_at = (
         now + const.STARTUP_GRACE_SECONDS - const.READER_TIMEOUT_SECONDS
     )
@@ -59,10 +60,7 @@
 def on_due(state: core_state.State, now: float) -> Effects:
     """Send a heartbeat, replace a silent reader, or retry failed reads."""
     _schedule(state, now)
-    due, made_after = removals.take_due(state, now)
-    emitted = reading.adopt_items(
-        state, now, due, const.SOURCE_DEFERRED, made_after=made_after
-    )
+    emitted = on_removals_due(state, now)
     emitted.extend(evacuation.on_due(state, now, const.SOURCE_DEFERRED))
     emitted.extend(proof_requests.on_due(state, now))
     if state.stopping:
@@ -75,6 +73,14 @@
     return emitted
 
 
+def on_removals_due(state: core_state.State, now: float) -> Effects:
+    """Adopt the deferred removals that are due."""
+    due, made_after = removals.take_due(state, now)
+    return reading.adopt_items(
+        state, now, due, const.SOURCE_DEFERRED, made_after=made_after
+    )
+
+
 def on_reader_resigned(state: core_state.State, now: float) -> Effects:
     """Become the reader if the current one is silent for long enough."""
     if state.stopping or state.feed.is_reader or not _is_silent(state, now):
--- a/src/agateshelf/core/feed/models.py
+++ b/src/agateshelf/core/feed/models.py
@@ -157,8 +157,12 @@
         synced_at: Latest time at which the data here was known to be current.
         reader: Neighbour that sent the latest heartbeat.
         reachable: Whether the store answered the latest read or watch.
+        store_heard_at: Latest time at which the store was known to answer.
+        failed_at: Time at which the store was last known not to answer.
+        returned_after: Earliest time at which the store can have come back from
+            its latest outage.
         removal_grace_until: Time until which removals are deferred, since the
-            store was unavailable.
+            store was away.
         deferred_removals: Deferred removals, by target.
         check_request: Number of the pending check; 0 if there is none.
         check_at: Time before which no further check is sent.
@@ -187,6 +191,9 @@
     synced_at: float = -math.inf
     reader: str | None = None
     reachable: bool = True
+    store_heard_at: float = -math.inf
+    failed_at: float = -math.inf
+    returned_after: float = -math.inf
     removal_grace_until: float = -math.inf
     deferred_removals: dict[str, DeferredRemoval] = dataclasses.field(
         default_factory=dict
@@ -208,6 +215,11 @@
     """The feed's periodic work is due (timer)."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemovalsDue:
+    """Deferred removals are due (timer)."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartupDue:
     """A starting entry asks another for what it doesn't know (timer).
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -17,6 +17,7 @@
 from agateshelf.core.feed import const
 from agateshelf.core.feed import freshness
 from agateshelf.core.feed import models
+from agateshelf.core.feed import outages
 from agateshelf.core.feed import proof
 from agateshelf.core.feed import relaying
 from agateshelf.core.feed import removals
@@ -123,6 +124,8 @@
 ) -> Effects:
     """Handle an answer of the store and send the next request."""
     feed = state.feed
+    if not isinstance(event.answer, models.Unavailable):
+        outages.note_heard(state, now)
     began = feed.proof.reads.pop(event.request, None)
     if event.request == feed.check_request:
         emitted = checking.on_answer(state, now, event.answer)
@@ -153,16 +156,18 @@
     if topic is None:
         return []
     topic_state = state.feed.topics[topic]
-    topic_state.phase = models.Phase.IDLE
     answer = event.answer
+    if isinstance(answer, models.Unavailable):
+        outages.note_failure(state.feed, now, topic_state)
+    topic_state.phase = models.Phase.IDLE
     match answer:
         case models.Unavailable():
             return _on_unavailable(state, now, topic, answer)
         case models.HistoryGone():
-            emitted = _on_answered(state, now, topic)
+            emitted = _on_answered(state, topic)
             return [*emitted, *read(state, now, topic, stale=False)]
         case models.Snapshot() | models.Changes():
-            emitted = _on_answered(state, now, topic)
+            emitted = _on_answered(state, topic)
             emitted.extend(_adopt(state, now, topic, answer))
             emitted.extend(_watch_again(state, now, topic, answer))
             return emitted
@@ -257,7 +262,6 @@
     topic_state.failures += 1
     jitter = 1 + const.RETRY_JITTER * state.rng.uniform(-1, 1)
     topic_state.retry_at = now + pause * jitter
-    feed.removal_grace_until = now + const.OUTAGE_GRACE_SECONDS
     if not feed.reachable:
         return []
     feed.reachable = False
@@ -269,16 +273,13 @@
     ]
 
 
-def _on_answered(
-    state: core_state.State, now: float, topic: models.Topic
-) -> Effects:
+def _on_answered(state: core_state.State, topic: models.Topic) -> Effects:
     feed = state.feed
     feed.topics[topic].failures = 0
     feed.store_unresponsive = False
     if feed.reachable:
         return []
     feed.reachable = True
-    feed.removal_grace_until = now + const.OUTAGE_GRACE_SECONDS
     return [
         effects.LogEvent("store.regained", details=(("topic", topic.value),))
     ]
@@ -362,6 +363,7 @@
     if is_first or era <= positions.era_of(topic_state.revision):
         return []
     state.feed.removal_grace_until = now + const.OUTAGE_GRACE_SECONDS
+    state.feed.returned_after = now
     state.pending_events.append(events.StoreRestored())
     details = (
         ("era", era),
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -16,6 +16,7 @@
 from agateshelf.core.feed import const
 from agateshelf.core.feed import messages
 from agateshelf.core.feed import models
+from agateshelf.core.feed import outages
 from agateshelf.core.feed import proof
 from agateshelf.core.feed import updates
 from agateshelf.core.membership import view
@@ -214,6 +215,7 @@
         feed.synced_at = min(feed.synced_at, now - const.READER_TIMEOUT_SECONDS)
         state.pending_events.append(models.ReaderResigned())
         return []
+    outages.note_heard(state, now, const.HEARTBEAT_ANSWER_SECONDS)
     emitted: Effects = []
     position = state.evacuation.current.position
     behind = comparison.is_behind(state, heartbeat)
--- a/src/agateshelf/core/feed/removals.py
+++ b/src/agateshelf/core/feed/removals.py
@@ -2,14 +2,16 @@
 
 During an outage of the store targets can't renew their registrations, so that
 all of them may be reported as removed although they are running. Removals
-that arrive shortly after an interruption, or for many targets at once, are
-deferred until the targets have had time to register again.
+that arrive shortly after an outage, or for many targets at once, are deferred
+until the targets have had time to register again. None is deferred beyond the
+time by which it has to be in force, which counts from when it was made.
 """
 
 import math
 
 from agateshelf.core import effects
 from agateshelf.core import state as core_state
+from agateshelf.core import timers
 from agateshelf.core.directory import handling as directory
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.feed import const
@@ -33,8 +35,8 @@
     feed = state.feed
     for item in items:
         feed.deferred_removals.pop(item.id, None)
-    seconds = _defer_seconds(state, now, items)
-    if seconds <= 0:
+    until = _deferred_until(state, now, items, made_after)
+    if until <= now:
         return items, []
     adopted: list[directory_models.Item] = []
     emitted: list[effects.Effect] = []
@@ -42,11 +44,13 @@
         match item:
             case directory_models.Removal() if _may_have_expired(state, item):
                 feed.deferred_removals[item.id] = models.DeferredRemoval(
-                    item, now + seconds, made_after
+                    item, until, made_after
                 )
-                emitted.append(_log_held(state, now, item, now + seconds))
+                emitted.append(_log_held(state, now, item, until))
             case _:
                 adopted.append(item)
+    if emitted:
+        timers.schedule(state.timers, until, models.RemovalsDue())
     return adopted, emitted
 
 
@@ -76,19 +80,42 @@
     return removed and known is not None and not known.draining
 
 
-def _defer_seconds(
-    state: core_state.State, now: float, items: list[directory_models.Item]
+def _deferred_until(
+    state: core_state.State,
+    now: float,
+    items: list[directory_models.Item],
+    made_after: float,
 ) -> float:
-    if now < state.feed.removal_grace_until:
-        return state.feed.removal_grace_until - now
+    """Return the time until which removals are deferred; now for not at all.
+
+    Few removals after an outage may as well be targets that leave, which must
+    be known once the platform counts the store as stable again.
+    """
+    feed = state.feed
+    are_many = _are_many(state, items)
+    if now < feed.removal_grace_until:
+        stable_at = feed.returned_after + const.STABLE_SECONDS
+        in_force_by = stable_at - const.IN_FORCE_MARGIN_SECONDS
+        latest = math.inf if are_many else in_force_by
+        return min(feed.removal_grace_until, latest)
+    if not are_many:
+        return now
+    in_force_by = (
+        made_after + state.drain_seconds - const.IN_FORCE_MARGIN_SECONDS
+    )
+    return min(now + const.MASS_REMOVAL_DELAY_SECONDS, in_force_by)
+
+
+def _are_many(
+    state: core_state.State, items: list[directory_models.Item]
+) -> bool:
+    """Return whether so many targets are removed that they may have expired."""
     expired = sum(1 for item in items if _may_have_expired(state, item))
     known = len(state.directory.targets)
-    if (
+    return (
         expired >= const.MIN_MASS_REMOVALS
         and expired >= const.MASS_REMOVAL_SHARE * known
-    ):
-        return const.MASS_REMOVAL_DELAY_SECONDS
-    return 0.0
+    )
 
 
 def take_due(
@@ -106,7 +133,7 @@
     due = [
         deferred
         for deferred in feed.deferred_removals.values()
-        if deferred.until <= now
+        if deferred.until <= now + const.TIMER_TOLERANCE_SECONDS
     ]
     items: list[directory_models.Item] = []
     for deferred in due:
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -112,6 +112,7 @@
         case (
             events.FeedAnswered()
             | feed_models.FeedDue()
+            | feed_models.RemovalsDue()
             | feed_models.WatchResumeDue()
             | feed_models.ReaderResigned()
             | feed_models.TargetsReadWanted()
@@ -184,6 +185,7 @@
     now: float,
     event: events.FeedAnswered
     | feed_models.FeedDue
+    | feed_models.RemovalsDue
     | feed_models.WatchResumeDue
     | feed_models.ReaderResigned
     | feed_models.TargetsReadWanted
@@ -198,6 +200,8 @@
                 *feed.on_due(state, now),
                 *persistence.on_due(state, now),
             ]
+        case feed_models.RemovalsDue():
+            return feed.on_removals_due(state, now)
         case feed_models.WatchResumeDue():
             return reading.on_watch_resume_due(state, now, event)
         case feed_models.ReaderResigned():
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -69,6 +69,10 @@
         revocation_seconds: Time after which a withdrawn key must no longer be
             accepted, by entries that are cut off as well; None if a key is
             served for as long as it is in the routes in force.
+        drain_seconds: Time from a report that a target drains, or its removal,
+            until it must get no more requests.
+        target_heartbeat_seconds: Interval at which targets renew their
+            registrations.
         cfg: The services' configuration in force.
     """
 
@@ -126,6 +130,8 @@
     unix_offset: float = 0.0
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
     revocation_seconds: float | None = None
+    drain_seconds: float = 2.0
+    target_heartbeat_seconds: float = 1.5
     cfg: "configuration_models.Configuration" = dataclasses.field(init=False)
     calls: "call_models.CallsState" = dataclasses.field(init=False)
     routing: "routing_models.RoutingState" = dataclasses.field(init=False)
--- a/src/agateshelf/daemon/reloading.py
+++ b/src/agateshelf/daemon/reloading.py
@@ -99,6 +99,10 @@
     """Apply the settings of an entry that follows routes."""
     state.dispatch.bounds = bounds_of(routes)
     state.regions = dict(routes.regions)
+    state.drain_seconds = routes.drain_ms / _MILLISECONDS_PER_SECOND
+    state.target_heartbeat_seconds = (
+        routes.target_heartbeat_ms / _MILLISECONDS_PER_SECOND
+    )
     state.revocation_seconds = None
     if routes.revocation_ms is not None:
         state.revocation_seconds = (
--- a/src/agateshelf/documents/settings.py
+++ b/src/agateshelf/documents/settings.py
@@ -204,6 +204,10 @@
         revocation_ms: Time after which a withdrawn key must no longer be
             accepted by any entry, in milliseconds; without it, a key is
             accepted for as long as it is in the routes in force.
+        drain_ms: Time after which a target that drains, or whose registration
+            was removed, must get no more requests, in milliseconds.
+        target_heartbeat_ms: Interval at which targets renew their
+            registrations, in milliseconds.
     """
 
     repeat_share: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.2
@@ -213,6 +217,10 @@
     grace_seconds: Seconds = 6.0
     regions: dict[str, str] = {}
     revocation_ms: Annotated[float, msgspec.Meta(ge=1000)] | None = None
+    drain_ms: Annotated[float, msgspec.Meta(ge=500, le=3600000)] = 2000.0
+    target_heartbeat_ms: Annotated[float, msgspec.Meta(ge=100, le=3600000)] = (
+        1500.0
+    )
 
 
 class Logs(structs.StrictStruct, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/core/feed/test_removals_in_time.py
@@ -0,0 +1,228 @@
+"""Tests that removals take force in time, whatever delays them together.
+
+Each delay between the store and an entry is below the time within which a
+target that leaves must get no more requests. These tests add them up.
+"""
+
+import dataclasses
+import itertools
+
+import pytest
+from tests.core import routed_fleet
+
+from agateshelf.core import events
+from agateshelf.core.directory import models as directory_models
+from agateshelf.core.feed import models
+
+# A removal that took force by then leaves time for a request on its way.
+DRAIN_SECONDS = 2.0
+WAY_SECONDS = 0.2
+# The store counts as stable again this long after an outage.
+STABLE_SECONDS = 3.0
+HEARTBEAT_SECONDS = 1.5
+DOMAINS = ("boston",) * 6 + ("hartford",) * 3
+TARGETS = 6
+
+
+def create_fleet(seed, domains=DOMAINS):
+    """Create a fleet whose targets write heartbeats, in some phase."""
+    fleet = routed_fleet.create_fleet(domains, TARGETS, seed)
+    for number, name in enumerate(list(fleet.items)):
+        beat(fleet, name, HEARTBEAT_SECONDS * number / TARGETS)
+    fleet.run_for(3.0 + 0.137 * seed)
+    return fleet
+
+
+def beat(fleet, name, pause=HEARTBEAT_SECONDS):
+    def write():
+        if name in fleet.items:
+            fleet.change(fleet.items[name])
+            beat(fleet, name)
+
+    fleet.at(fleet.now + pause, write)
+
+
+def remove(fleet, count):
+    names = list(fleet.items)[:count]
+    for name in names:
+        fleet.change(directory_models.Removal(name, 0))
+    return names
+
+
+def reset_watches(fleet, names):
+    """Break the watches of some entries."""
+    for node, effect in list(fleet.watches):
+        if node.name in names:
+            fleet.watches.remove((node, effect))
+            broken = events.FeedAnswered(
+                effect.request, models.Unavailable("reset")
+            )
+            fleet.post(node, broken)
+
+
+def readers(fleet):
+    return [
+        node.name
+        for node in fleet.nodes.values()
+        if node.alive and node.state.feed.is_reader
+    ]
+
+
+def knows(node, names):
+    known = node.state.directory.targets
+    return any(name in known and not known[name].draining for name in names)
+
+
+def time_in_force(fleet, names, most=6.0):
+    """Return after which time no entry that runs would use the targets."""
+    began = fleet.now
+    in_force_at = began
+    while fleet.now < began + most:
+        fleet.run_for(0.02)
+        if any(
+            knows(node, names) for node in fleet.nodes.values() if node.alive
+        ):
+            in_force_at = fleet.now
+    return in_force_at - began
+
+
+def lose_reader(fleet):
+    fleet.kill(readers(fleet)[0])
+
+
+def lose_reader_and_successors(fleet):
+    lost = readers(fleet)[0]
+    domain = fleet.nodes[lost].state.identity.failure_domain
+    others = [
+        node.name
+        for node in fleet.nodes.values()
+        if node.name != lost and node.state.identity.failure_domain == domain
+    ]
+    for name in (lost, *others[: len(others) // 2 + 1]):
+        fleet.kill(name)
+
+
+def freeze_reader(fleet):
+    fleet.freeze(readers(fleet)[0], 8.0)
+
+
+def silence_reader(fleet):
+    fleet.nodes[readers(fleet)[0]].store_silent = True
+
+
+def reset_reader(fleet):
+    reset_watches(fleet, readers(fleet)[:1])
+
+
+def reset_all_readers(fleet):
+    reset_watches(fleet, readers(fleet))
+
+
+def reset_reader_and_lose_the_next(fleet):
+    reset_reader(fleet)
+    fleet.run_for(0.1)
+    lose_reader(fleet)
+
+
+TROUBLES = (
+    lambda _fleet: None,
+    lose_reader,
+    freeze_reader,
+    silence_reader,
+    reset_reader,
+    reset_all_readers,
+    reset_reader_and_lose_the_next,
+)
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+@pytest.mark.parametrize("leaving", [1, 2, 3, 6])
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_a_removal_is_in_force_in_time_beside_any_trouble(
+    trouble, leaving, seed
+):
+    fleet = create_fleet(seed)
+    trouble(fleet)
+    fleet.run_for(0.05 * seed)
+    names = remove(fleet, leaving)
+    assert time_in_force(fleet, names) <= DRAIN_SECONDS - WAY_SECONDS
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_a_drain_is_in_force_in_time_beside_any_trouble(trouble, seed):
+    fleet = create_fleet(seed)
+    trouble(fleet)
+    fleet.run_for(0.05 * seed)
+    leaving = dataclasses.replace(fleet.items["t0"], draining=True)
+    fleet.change(leaving)
+    assert time_in_force(fleet, ["t0"]) <= DRAIN_SECONDS - WAY_SECONDS
+
+
+@pytest.mark.parametrize(
+    ("trouble", "seed"), list(itertools.product(TROUBLES, range(1, 4)))
+)
+def test_a_removal_just_before_the_trouble_is_in_force_in_time(trouble, seed):
+    fleet = create_fleet(seed)
+    names = remove(fleet, 3)
+    fleet.run_for(0.002)
+    trouble(fleet)
+    assert time_in_force(fleet, names) <= DRAIN_SECONDS - WAY_SECONDS
+
+
+def outage(fleet, seconds):
+    """Let the store be away for all entries, and cut their watches."""
+    for node in fleet.nodes.values():
+        node.store_silent = True
+    reset_watches(fleet, fleet.nodes)
+    fleet.run_for(seconds)
+    for node in fleet.nodes.values():
+        node.store_silent = False
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_registrations_that_expired_in_an_outage_are_kept_until_they_are_back(
+    seed,
+):
+    fleet = create_fleet(seed)
+    items = dict(fleet.items)
+    fleet.at(fleet.now + 4.8, remove, fleet, TARGETS)
+    outage(fleet, 5.0)
+    fleet.run_for(1.9)
+    fleet.change(*items.values())
+    for _ in range(100):
+        fleet.run_for(0.05)
+        for node in fleet.nodes.values():
+            assert set(node.state.directory.targets) == set(items)
+
+
+@pytest.mark.parametrize("leaving", [1, 2])
+@pytest.mark.parametrize("seconds", [3.5, 5.0, 9.0])
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_a_target_that_left_in_an_outage_is_gone_once_the_store_is_stable(
+    leaving, seconds, seed
+):
+    fleet = create_fleet(seed)
+    outage(fleet, seconds)
+    fleet.run_for(0.05)
+    names = remove(fleet, leaving)
+    assert time_in_force(fleet, names) <= STABLE_SECONDS - WAY_SECONDS
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_no_removal_is_held_after_an_outage_in_which_none_can_have_expired(
+    seed,
+):
+    fleet = create_fleet(seed)
+    outage(fleet, 1.2)
+    fleet.run_for(0.8)
+    names = remove(fleet, 1)
+    assert time_in_force(fleet, names) <= 1.0
+
+
+def test_a_shorter_drain_time_binds_as_well():
+    fleet = create_fleet(1)
+    for node in fleet.nodes.values():
+        node.state.drain_seconds = 1.2
+    names = remove(fleet, TARGETS)
+    assert time_in_force(fleet, names) <= 1.2 - WAY_SECONDS
--- a/tests/daemon/test_reloading.py
+++ b/tests/daemon/test_reloading.py
@@ -30,12 +30,18 @@
     changed = {
         **SETTINGS,
         "peers": {"listen": {"port": 7000}, "seeds": ["10.0.0.2:7000"]},
-        "routes": {"repeat_slack": 70},
+        "routes": {
+            "repeat_slack": 70,
+            "drain_ms": 2500,
+            "target_heartbeat_ms": 1000,
+        },
     }
     path.write_text(json.dumps(changed))
     virtual_run(reloader.reload, "test")
     state = reloader.driver.state
     assert state.dispatch.bounds.retry_slack == 70
+    assert state.drain_seconds == 2.5
+    assert state.target_heartbeat_seconds == 1.0
     assert "10.0.0.2:7000" in state.membership.seed_addresses
 
 
