Follow a lost reader within two seconds, whoever is lost with it

Each entry waited 0.3 s longer for each neighbour before it, living or not, looked at that every 0.4 s, and the new reader said so up to 0.4 s later.

An entry now takes over when it is due, by a timer of its own, the silent reader is not counted among those before it, and a new reader announces itself as soon as it watches, so that a step of 0.1 s keeps the next one back. All steps together end 1.5 s after the last heartbeat.

--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -707,6 +707,7 @@
     | feed_models.FeedDue
     | feed_models.ReaderResigned
     | feed_models.RemovalsDue
+    | feed_models.TakeoverDue
     | feed_models.OwnReadWanted
     | feed_models.TargetsReadWanted
     | feed_models.StartupDue
--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -12,9 +12,11 @@
 HEARTBEAT_SECONDS: Final = 0.4
 # Time without heartbeats after which another entry becomes the reader. Each
 # entry waits one step longer per neighbour that sorts before it, so that they
-# do not all take over at once.
+# do not all take over at once. Some of these may be lost as well: all steps
+# together leave time within the 2 s in which a change must be in force. One
+# step is enough to read the store and announce it.
 READER_TIMEOUT_SECONDS: Final = 1.1
-READER_TIMEOUT_STEP_SECONDS: Final = 0.3
+READER_TIMEOUT_STEP_SECONDS: Final = 0.1
 MAX_READER_TIMEOUT_STEPS: Final = 4
 # Time in which a starting entry waits for a reader's heartbeat before it
 # becomes the reader itself.
--- a/src/agateshelf/core/feed/handling.py
+++ b/src/agateshelf/core/feed/handling.py
@@ -82,21 +82,29 @@
 
 
 def on_reader_resigned(state: core_state.State, now: float) -> Effects:
-    """Become the reader if the current one is silent for long enough."""
-    if state.stopping or state.feed.is_reader or not _is_silent(state, now):
+    """Become the reader once the current one is silent for long enough."""
+    if state.stopping or state.feed.is_reader:
         return []
-    return reading.start_reading(state, now)
+    due = _takeover_at(state)
+    if now >= due - const.TIMER_TOLERANCE_SECONDS:
+        return reading.start_reading(state, now)
+    if due < now + const.HEARTBEAT_SECONDS:
+        # The feed's own timer would come up to a whole interval later.
+        timers.schedule(state.timers, due, models.TakeoverDue())
+    return []
 
 
-def _is_silent(state: core_state.State, now: float) -> bool:
+def _takeover_at(state: core_state.State) -> float:
+    """Return when this entry becomes the reader if none is heard of."""
     me = state.identity.entry
+    feed = state.feed
     rank = sum(
         1
         for entry in relaying.neighbours(state)
-        if entry < me and entry != state.feed.resigned_reader
+        if entry < me and entry not in (feed.resigned_reader, feed.reader)
     )
     steps = min(rank, const.MAX_READER_TIMEOUT_STEPS)
     timeout = (
         const.READER_TIMEOUT_SECONDS + steps * const.READER_TIMEOUT_STEP_SECONDS
     )
-    return now - state.feed.synced_at >= timeout
+    return feed.synced_at + timeout
--- a/src/agateshelf/core/feed/models.py
+++ b/src/agateshelf/core/feed/models.py
@@ -151,6 +151,7 @@
     Attributes:
         enabled: Whether this entry follows routes and registrations.
         is_reader: Whether it is the reader of its failure domain.
+        announced: Whether it has said so since it became the reader.
         topics: State of each topic.
         topic_of: Topic of each pending request, by request number.
         last_request: Number of the latest request.
@@ -183,6 +184,7 @@
 
     enabled: bool = False
     is_reader: bool = False
+    announced: bool = False
     topics: dict[Topic, TopicState] = dataclasses.field(
         default_factory=lambda: {topic: TopicState() for topic in Topic}
     )
@@ -215,6 +217,11 @@
     """The feed's periodic work is due (timer)."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeoverDue:
+    """The reader may have been silent for long enough (timer)."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RemovalsDue:
     """Deferred removals are due (timer)."""
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -29,6 +29,7 @@
     """Become the reader in place of one that has gone silent."""
     feed = state.feed
     feed.is_reader = True
+    feed.announced = False
     feed.store_unresponsive = False
     feed.relayed_at = state.directory.revision
     freshness.note_takeover(feed)
@@ -64,12 +65,7 @@
     if watched:
         emitted.extend(checking.check(state, now))
     if watched and not feed.store_unresponsive:
-        feed.synced_at = now
-        recipients = [
-            *relaying.neighbours(state),
-            *relaying.sample_other_domains(state),
-        ]
-        emitted.extend(relaying.send(recipients, relaying.heartbeat(state)))
+        emitted.extend(_send_heartbeat(state, now))
     elif now - feed.synced_at > const.MAX_AGE_SECONDS:
         emitted.extend(relaying.request_from_other_domain(state))
     return emitted
@@ -99,7 +95,29 @@
 def _watch(state: core_state.State, now: float, topic: models.Topic) -> Effects:
     number = _next_request(state, now, topic, models.Phase.WATCHING)
     after = state.feed.topics[topic].revision
-    return [effects.WatchFeed(number, topic, after, const.WATCH_SECONDS)]
+    watch = effects.WatchFeed(number, topic, after, const.WATCH_SECONDS)
+    return [watch, *_announce(state, now)]
+
+
+def _announce(state: core_state.State, now: float) -> Effects:
+    """Send the first heartbeat as soon as all topics are watched.
+
+    It keeps the neighbours from taking over as well, one after the other.
+    """
+    feed = state.feed
+    if feed.announced or not relaying.watches_all(feed):
+        return []
+    feed.announced = True
+    return _send_heartbeat(state, now)
+
+
+def _send_heartbeat(state: core_state.State, now: float) -> Effects:
+    state.feed.synced_at = now
+    recipients = [
+        *relaying.neighbours(state),
+        *relaying.sample_other_domains(state),
+    ]
+    return relaying.send(recipients, relaying.heartbeat(state))
 
 
 def _next_request(
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -112,6 +112,7 @@
         case (
             events.FeedAnswered()
             | feed_models.FeedDue()
+            | feed_models.TakeoverDue()
             | feed_models.RemovalsDue()
             | feed_models.WatchResumeDue()
             | feed_models.ReaderResigned()
@@ -185,6 +186,7 @@
     now: float,
     event: events.FeedAnswered
     | feed_models.FeedDue
+    | feed_models.TakeoverDue
     | feed_models.RemovalsDue
     | feed_models.WatchResumeDue
     | feed_models.ReaderResigned
@@ -204,7 +206,7 @@
             return feed.on_removals_due(state, now)
         case feed_models.WatchResumeDue():
             return reading.on_watch_resume_due(state, now, event)
-        case feed_models.ReaderResigned():
+        case feed_models.ReaderResigned() | feed_models.TakeoverDue():
             return feed.on_reader_resigned(state, now)
         case feed_models.TargetsReadWanted():
             return reading.on_targets_read_wanted(state, now)
--- a/tests/core/feed/test_removals_in_time.py
+++ b/tests/core/feed/test_removals_in_time.py
@@ -127,6 +127,7 @@
 TROUBLES = (
     lambda _fleet: None,
     lose_reader,
+    lose_reader_and_successors,
     freeze_reader,
     silence_reader,
     reset_reader,
@@ -226,3 +227,21 @@
         node.state.drain_seconds = 1.2
     names = remove(fleet, TARGETS)
     assert time_in_force(fleet, names) <= 1.2 - WAY_SECONDS
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_one_entry_alone_takes_over_from_a_lost_reader(seed):
+    # Each reader costs the store requests, and readers that stop again leave
+    # their failure domain without one.
+    fleet = create_fleet(seed)
+    lost = readers(fleet)[0]
+    fleet.kill(lost)
+    began = fleet.now
+    fleet.run_for(3.0)
+    started = [
+        node.name
+        for node in fleet.nodes.values()
+        for at, effect in node.notes
+        if effect.event == "feed.reader_started" and at > began
+    ]
+    assert len(started) == 1
