Take back requests that wait for a connection to a leaving target

A request whose connection was being opened when its target was reported as draining or removed was sent all the same, up to a second later, which adds to the time in which the removal takes force. It goes elsewhere now, as it already did when the target itself said that it leaves. Both cases of the test failed before: the removed target got requests 0.7 s after its removal was known.

--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -331,6 +331,23 @@
     ]
 
 
+def on_targets_changed(
+    state: core_state.State, event: events.TargetsChanged
+) -> Effects:
+    """Take back the requests to leaving targets of which no byte was sent.
+
+    A connection may take a second to open, which the time within which a
+    target must get no more requests doesn't leave.
+    """
+    used = {attempt.target for attempt in state.forwarding.attempts.values()}
+    known = state.directory.targets
+    return [
+        effects.AbortUnsentAttempts(target)
+        for target in event.targets
+        if target in used and (target not in known or known[target].draining)
+    ]
+
+
 def on_reach_judged(
     state: core_state.State, now: float, event: events.ReachJudged
 ) -> Effects:
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -155,6 +155,7 @@
             regions.on_targets_changed(state, event)
             return [
                 *warmup_sources.on_targets_changed(state, now, event.targets),
+                *completion.on_targets_changed(state, event),
                 *evidence.on_targets_changed(state, now, event),
                 *sampling.on_targets_changed(state, event),
                 *dispatchers.on_targets_changed(state, now, event),
--- a/tests/core/forwarding/test_forwarding.py
+++ b/tests/core/forwarding/test_forwarding.py
@@ -1,9 +1,13 @@
 """Tests of routed calls: retries, refusals and log events."""
 
+import dataclasses
+
 import pytest
 from tests.core import routed_fleet
+from tests.core.evacuation import evacuated_fleet
 
 from agateshelf.core import events
+from agateshelf.core.directory import models as directory_models
 from agateshelf.core.outcomes import models as outcome_models
 
 RESET = routed_fleet.RESET
@@ -179,3 +183,27 @@
         if note.request_id == "abc"
     ]
     assert notes == ["attempt.started", "attempt.answered"]
+
+
+@pytest.mark.parametrize("is_announced", [True, False])
+def test_what_waits_for_a_connection_to_a_leaving_target_goes_elsewhere(
+    is_announced,
+):
+    # A connection took up to a second to open, after up to two seconds in
+    # which a target that leaves was not known to.
+    fleet = evacuated_fleet.EvacuatedFleet(
+        entries=1, targets=3, idempotent=False, timeout=3.0
+    )
+    fleet.connect_seconds = 0.8
+    calls = [fleet.request(timeout=3.0) for _ in range(3)]
+    fleet.run_for(0.1)
+    leaving = dataclasses.replace(fleet.items["t0"], draining=True)
+    if not is_announced:
+        leaving = directory_models.Removal("t0", 0)
+    fleet.change(leaving)
+    fleet.run_for(0.05)
+    began = fleet.now
+    fleet.run_for(2.5)
+    late = [target for at, _, target in fleet.sent if at > began]
+    assert "t0" not in late
+    assert all(fleet.response(call)[0] == "answer" for call in calls)
