Take a request to the store for unanswered whose end is never reported

A reader whose read or watch ends without a word to the core waited for it for ever and announced all the while that it was current; a check that was lost that way kept all later ones from being sent. Whatever error causes it, the topic is now read again after 6 s (a read) or 14 s (a watch), with a line in the log, and a lost check is sent again. Both tests failed before.

The fleet of the tests ends watches after their time, as the store does, so that the bound on requests of test_only_readers_check_the_store is now one on reads, as strict as before, and one on watches.

A new reader announces itself to its neighbours alone.

--- a/src/agateshelf/core/feed/checking.py
+++ b/src/agateshelf/core/feed/checking.py
@@ -30,6 +30,7 @@
     if now < feed.check_at:
         return []
     proves = proof.is_required(state)
+    feed.checked_at = now
     feed.check_at = now + const.CHECK_SECONDS
     timeout = const.CHECK_TIMEOUT_SECONDS
     if proves:
@@ -50,10 +51,18 @@
 
 
 def _check_pending(state: core_state.State, now: float) -> Effects:
-    """Hand over to a neighbour if a check that may still prove is overdue."""
-    began = state.feed.proof.reads.get(state.feed.check_request, now)
+    """Hand over to a neighbour if a check is overdue that is still pending.
+
+    One that may still prove is waited for; one whose end was never reported is
+    sent again.
+    """
+    feed = state.feed
+    pending_for = now - feed.checked_at
     overdue = const.CHECK_TIMEOUT_SECONDS - const.TIMER_TOLERANCE_SECONDS
-    if now - began < overdue:
+    if pending_for >= const.LOST_READ_SECONDS:
+        feed.proof.reads.pop(feed.check_request, None)
+        feed.check_request = 0
+    if pending_for < overdue:
         return []
     return _on_no_answer(state, models.Unavailable("no answer to a check yet"))
 
--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -51,6 +51,10 @@
 BUSY_WATCH_PAUSE_SECONDS: Final = 0.6
 # A watch that returns changes so soon after the last one that did is busy.
 BUSY_WATCH_SECONDS: Final = 1.0
+# Time after which a request whose end was never reported counts as lost: more
+# than all pages of a read, or a whole watch, may take.
+LOST_READ_SECONDS: Final = 6.0
+LOST_WATCH_SECONDS: Final = 14.0
 # Time within which a change reaches a reader whose watch is pending.
 WATCH_DELAY_SECONDS: Final = 0.5
 # Interval of a reader's checks that the store still answers, and their
--- a/src/agateshelf/core/feed/models.py
+++ b/src/agateshelf/core/feed/models.py
@@ -167,6 +167,7 @@
         deferred_removals: Deferred removals, by target.
         check_request: Number of the pending check; 0 if there is none.
         check_at: Time before which no further check is sent.
+        checked_at: Time at which the latest check was sent.
         store_unresponsive: Whether the store did not answer this reader's last
             check.
         resigned_reader: Neighbour that last announced that it stops being the
@@ -202,6 +203,7 @@
     )
     check_request: int = 0
     check_at: float = -math.inf
+    checked_at: float = -math.inf
     store_unresponsive: bool = False
     resigned_reader: str | None = None
     proven_at: float = -math.inf
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -30,6 +30,7 @@
     feed = state.feed
     feed.is_reader = True
     feed.announced = False
+    feed.check_request = 0
     feed.store_unresponsive = False
     feed.relayed_at = state.directory.revision
     freshness.note_takeover(feed)
@@ -56,7 +57,7 @@
     domain, which may still reach the store.
     """
     feed = state.feed
-    emitted: Effects = []
+    emitted = _give_up_lost(state, now)
     for topic, topic_state in feed.topics.items():
         idle = topic_state.phase is models.Phase.IDLE
         if idle and now >= topic_state.retry_at:
@@ -65,7 +66,12 @@
     if watched:
         emitted.extend(checking.check(state, now))
     if watched and not feed.store_unresponsive:
-        emitted.extend(_send_heartbeat(state, now))
+        feed.synced_at = now
+        recipients = [
+            *relaying.neighbours(state),
+            *relaying.sample_other_domains(state),
+        ]
+        emitted.extend(relaying.send(recipients, relaying.heartbeat(state)))
     elif now - feed.synced_at > const.MAX_AGE_SECONDS:
         emitted.extend(relaying.request_from_other_domain(state))
     return emitted
@@ -73,7 +79,7 @@
 
 def read_missing_topics(state: core_state.State, now: float) -> Effects:
     """Retry the read of each topic that has never been read."""
-    emitted: Effects = []
+    emitted = _give_up_lost(state, now)
     for topic, topic_state in state.feed.topics.items():
         idle = topic_state.phase is models.Phase.IDLE
         if idle and not topic_state.revision and now >= topic_state.retry_at:
@@ -81,6 +87,31 @@
     return emitted
 
 
+def _give_up_lost(state: core_state.State, now: float) -> Effects:
+    """Take requests for unanswered whose end was never reported.
+
+    An error in the client may end a request without a word, and the topic would
+    wait for ever while its reader announces that it is current.
+    """
+    emitted: Effects = []
+    for topic, topic_state in state.feed.topics.items():
+        if topic_state.request not in state.feed.topic_of:
+            continue
+        is_watch = topic_state.phase is models.Phase.WATCHING
+        longest = const.LOST_READ_SECONDS
+        if is_watch:
+            longest = const.LOST_WATCH_SECONDS
+        if now - topic_state.requested_at < longest:
+            continue
+        details = (("topic", topic.value), ("watch", is_watch))
+        emitted.append(effects.LogEvent("store.request_lost", details=details))
+        lost = events.FeedAnswered(
+            topic_state.request, models.Unavailable("never answered")
+        )
+        emitted.extend(on_answer(state, now, lost))
+    return emitted
+
+
 def read(
     state: core_state.State, now: float, topic: models.Topic, *, stale: bool
 ) -> Effects:
@@ -108,16 +139,8 @@
     if feed.announced or not relaying.watches_all(feed):
         return []
     feed.announced = True
-    return _send_heartbeat(state, now)
-
-
-def _send_heartbeat(state: core_state.State, now: float) -> Effects:
-    state.feed.synced_at = now
-    recipients = [
-        *relaying.neighbours(state),
-        *relaying.sample_other_domains(state),
-    ]
-    return relaying.send(recipients, relaying.heartbeat(state))
+    feed.synced_at = now
+    return relaying.send(relaying.neighbours(state), relaying.heartbeat(state))
 
 
 def _next_request(
--- a/tests/core/feed/test_feed.py
+++ b/tests/core/feed/test_feed.py
@@ -216,9 +216,12 @@
 
 def test_only_readers_check_the_store(fleet):
     fleet.store_calls = 0
+    fleet.reads.clear()
     fleet.run_for(8.0)
     # Three readers, each with one check per 0.8 s.
-    assert fleet.store_calls <= 3 * 11
+    assert len(fleet.reads) <= 3 * 11
+    # Watches end after 10 s; each reader has two.
+    assert fleet.store_calls - len(fleet.reads) <= 3 * 2
 
 
 def test_a_burst_of_changes_costs_few_store_calls(fleet):
@@ -342,3 +345,38 @@
     assert "t0" in fleet.nodes[name].state.directory.targets
     fleet.run_for(0.9)
     assert "t0" not in fleet.nodes[name].state.directory.targets
+
+
+@pytest.mark.parametrize("topic", list(models.Topic))
+def test_a_watch_whose_end_is_never_reported_is_begun_again(topic):
+    # An error ended the task of a watch without an answer, and the reader went
+    # on to announce that it was current.
+    fleet = routed_fleet.create_fleet(("boston",) * 3)
+    for node, effect in list(fleet.watches):
+        if effect.topic is topic:
+            fleet.watches.remove((node, effect))
+    fleet.change(
+        dataclasses.replace(fleet.items["t0"], draining=True),
+        table=routed_fleet.create_table(2),
+    )
+    fleet.run_for(15.0)
+    assert versions(fleet) == {2}
+    assert all(draining(fleet, "t0"))
+
+
+def test_a_check_whose_end_is_never_reported_is_sent_again(monkeypatch):
+    fleet = routed_fleet.create_fleet(("boston", "hartford"))
+    reader = fleet.nodes[readers(fleet)[0]]
+    fleet.run_for(1.0)
+    answer = fleet._read
+
+    def lose(node, effect):
+        if node is not reader:
+            answer(node, effect)
+
+    monkeypatch.setattr(fleet, "_read", lose)
+    fleet.run_for(2.0)
+    monkeypatch.setattr(fleet, "_read", answer)
+    fleet.reads.clear()
+    fleet.run_for(8.0)
+    assert reader.name in {name for _, name, _ in fleet.reads}
--- a/tests/core/routed_fleet.py
+++ b/tests/core/routed_fleet.py
@@ -247,6 +247,7 @@
                 self.store_calls += 1
                 self.watches.append((node, effect))
                 self._serve_watches()
+                self.at(self.now + effect.wait, self._end_watch, node, effect)
             case effects.StartAttempt():
                 self._start(node, effect)
             case effects.DeliverAnswer():
@@ -354,6 +355,17 @@
             event = events.FeedAnswered(effect.request, answer)
             self.at(self.now + self.store_seconds, self.post, node, event)
 
+    def _end_watch(self, node, effect):
+        """End a watch that brought no change within its time."""
+        if (node, effect) not in self.watches:
+            return
+        self.watches.remove((node, effect))
+        answer = feed_models.Changes(self.revision)
+        if node.watch_stalled or node.store_silent:
+            answer = feed_models.Unavailable("no answer")
+        event = events.FeedAnswered(effect.request, answer)
+        self.at(self.now + self.store_seconds, self.post, node, event)
+
     def _probe(self, node, effect):
         load = events.TargetLoad(0, 0, 2)
         if effect.target in self.silent_targets:
