Believe no refusal on a kept connection that may belong to another request

Clients were told that bookings had not run which their target was running, and such bookings ran at a second target as well: a faulty target wrote an earlier refusal once more on a kept connection. With its identifier it was skipped, but without one it was believed; so was one for the same identifier, where a request is sent to its target once more on the same connection.

An answer without an identifier is skipped on a connection that had an earlier request (other entries' refusals name none, and come once). A connection on which a request was refused does not carry it again. An answer with two different identifiers, as two have that were taken for one, is malformed.

Answers cut off at each byte of their head, on new and on kept connections, gave no success and ran nothing twice, before as now: that does not happen here, and the test stays. The scripted target of the tests sends without Nagle's delay, which virtual time passes by.

--- a/src/agateshelf/daemon/targets/attempts.py
+++ b/src/agateshelf/daemon/targets/attempts.py
@@ -79,6 +79,8 @@
         effect: The effect that started the attempt.
         request: The request to send.
         started_at: Loop time at which it was registered.
+        request_id: Identifier of the request, which its target echoes; empty if
+            it has none.
         stage: Stage it has reached.
         kept_connection: Whether it uses a kept-alive connection.
         opening: Why it opened a connection, if it did.
@@ -93,6 +95,7 @@
     effect: effects.StartAttempt
     request: messages.Request
     started_at: float
+    request_id: bytes = b""
     stage: Stage = Stage.CONNECTING
     kept_connection: bool = False
     opening: pool.Opening | None = None
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -36,6 +36,7 @@
 _INLINE_SEND_BYTES = 65536
 _MAX_UNRELATED_ANSWERS = 4
 _MIN_SUCCESS_STATUS = 200
+_MIN_CLIENT_ERROR_STATUS = 400
 _MIN_REDIRECT_STATUS = 300
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 _BODILESS_STATUSES = frozenset({204, 304})
@@ -94,7 +95,10 @@
         self, effect: effects.StartAttempt, request: messages.Request
     ) -> attempts.RunningAttempt:
         """Register an attempt, so that it can be cancelled before it runs."""
-        running = attempts.RunningAttempt(effect, request, clock.now())
+        request_id = messages.header(request.headers, self.dialect.request_id)
+        running = attempts.RunningAttempt(
+            effect, request, clock.now(), request_id or b""
+        )
         self.running[effect.attempt] = running
         return running
 
@@ -224,6 +228,8 @@
         finally:
             if sender is not None:
                 await sender.cancel()
+        if answer.status >= _MIN_CLIENT_ERROR_STATUS:
+            conn.refused.add(running.request_id)
         running.conn = None
         running.reserved = 0
         if answer.source is None:
@@ -243,7 +249,9 @@
     ) -> connection.TargetConnection:
         effect = running.effect
         address = effect.relay or effect.address
-        kept = await self.connections.acquire(address, fresh=effect.fresh)
+        kept = await self.connections.acquire(
+            address, fresh=effect.fresh, request_id=running.request_id
+        )
         if kept is not None:
             running.kept_connection = True
             running.conn = kept
@@ -306,7 +314,8 @@
         A target may send a second answer to an earlier request on the same
         connection, which arrives before the answer to this one. Such answers
         are skipped, since closing the connection would abort the run of this
-        request.
+        request. One without an identifier may be such an answer where there was
+        an earlier request.
 
         Raises:
             h11.RemoteProtocolError: An answer is malformed, or too many
@@ -380,14 +389,24 @@
     running: attempts.RunningAttempt,
     head: h11.Response,
 ) -> bool:
-    """Return whether an answer has the identifier of another request."""
+    """Return whether an answer may belong to another request.
+
+    Other entries name no identifier in their own refusals, and send none twice.
+
+    Raises:
+        h11.RemoteProtocolError: The answer has several identifiers, as two that
+            were taken for one have.
+    """
     if not dialect.request_id:
         return False
-    expected = messages.header(running.request.headers, dialect.request_id)
-    echoed = messages.header(
-        messages.headers_from_h11(head.headers), dialect.request_id
-    )
-    return echoed is not None and echoed != expected
+    headers = messages.headers_from_h11(head.headers)
+    echoed = {value for name, value in headers if name == dialect.request_id}
+    if len(echoed) > 1:
+        raise h11.RemoteProtocolError("answer has several identifiers")
+    if not echoed:
+        is_first = not running.kept_connection or not running.request_id
+        return not is_first and not running.effect.relay
+    return running.request_id not in echoed
 
 
 def _check_signature(
--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -28,6 +28,8 @@
     rb"(?:^|[,\s])timeout\s*=\s*([0-9]{1,6})(?:$|[,\s])", re.IGNORECASE
 )
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
+# Refused requests that a connection remembers; it is then replaced.
+_MAX_REFUSED = 32
 # Limit for unacknowledged bytes; a round trip takes some milliseconds.
 _USER_TIMEOUT_MS = 1000
 
@@ -46,6 +48,7 @@
         head_only: Whether the current request is a HEAD.
         interrupted: Whether it was shut down by `interrupt`.
         idle_seconds: Time for which it may be idle, by what the target says.
+        refused: Identifiers of the requests that were refused on it.
         turn: Lets other tasks run while a fast target sends.
     """
 
@@ -57,6 +60,7 @@
     head_only: bool = False
     interrupted: bool = False
     idle_seconds: float = math.inf
+    refused: set[bytes] = dataclasses.field(default_factory=set)
     turn: fairness.Turn = dataclasses.field(default_factory=fairness.Turn)
 
     async def connect(self) -> None:
@@ -157,6 +161,7 @@
         done = h11.DONE
         return (
             self.request_sent
+            and len(self.refused) <= _MAX_REFUSED
             and self.protocol.our_state is done
             and self.protocol.their_state is done
             and not self.protocol.trailing_data[0]
--- a/src/agateshelf/daemon/targets/pool.py
+++ b/src/agateshelf/daemon/targets/pool.py
@@ -139,7 +139,7 @@
             del self.idle[conn.address]
 
     async def acquire(
-        self, address: str, *, fresh: bool
+        self, address: str, *, fresh: bool, request_id: bytes = b""
     ) -> connection.TargetConnection | None:
         """Take an idle connection, or return None if there is no usable one.
 
@@ -147,6 +147,9 @@
             address: Address of the target.
             fresh: Whether its last answer must have arrived at most
                 `FRESH_CONNECTION_SECONDS` ago.
+            request_id: Identifier of the request. A connection on which one
+                with the same was refused is not used: a second copy of that
+                refusal could not be told from the answer to this one.
         """
         now = clock.now()
         oldest_fresh = now - dispatch_const.FRESH_CONNECTION_SECONDS
@@ -154,6 +157,8 @@
             conn = kept[-1]
             if fresh and _last_answer(conn) < oldest_fresh:
                 return None
+            if request_id in conn.refused:
+                return None
             kept.pop()
             self._unwatch(conn)
             if _is_expired(conn, now):
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures: an entry and a scripted target on one loop in virtual time."""
 
 import dataclasses
+import socket
 
 import curio
 import curio.network
@@ -60,6 +61,8 @@
     async def _accept(self, sock):
         while True:
             conn, _ = await sock.accept()
+            # Virtual time would pass the real time of a delayed segment by.
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections += 1
             await curio.spawn(self._serve, conn, self.connections, daemon=True)
 
--- a/tests/daemon/test_routes.py
+++ b/tests/daemon/test_routes.py
@@ -230,3 +230,117 @@
     response, (requests,) = forward(request_bytes, script)
     assert (response.status, response.body) == (200, b"mine")
     assert len(requests) == 1
+
+
+REFUSALS = (
+    (503, b"X-Not-Executed: 1\r\n"),
+    (429, b"X-Not-Executed: 1\r\n"),
+    (421, b""),
+    (400, b"X-Not-Executed: 1\r\n"),
+)
+
+
+def ask_twice(virtual_run, script, first, second):
+    """Send two requests one after the other; return the responses."""
+
+    async def body():
+        rig = await create_entry((script,))
+        await (await rig.caller()).request(first)
+        response = await (await rig.caller()).request(second)
+        return response, rig.target[0].requests
+
+    return virtual_run(body)
+
+
+@pytest.mark.parametrize("request_bytes", [GET, POST])
+@pytest.mark.parametrize(("status", "mark"), REFUSALS)
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+def test_a_repeated_refusal_without_an_identifier_is_not_believed(
+    virtual_run, request_bytes, status, mark, pause
+):
+    # The caller was told that its request had not run, and it was running.
+    refusal = conftest.http_response(b"no", status=status, extra=mark)
+
+    async def script(request, sock):
+        if request.header(b"x-request-id") == [b"r0"]:
+            return conftest.http_response(extra=VALID.replace(b"r1", b"r0"))
+        # What it said to an earlier request on this connection.
+        await sock.sendall(refusal)
+        await curio.sleep(pause)
+        return conftest.http_response(b"mine", extra=VALID)
+
+    earlier = request_bytes.replace(b"r1", b"r0")
+    response, requests = ask_twice(virtual_run, script, earlier, request_bytes)
+    assert (response.status, response.body) == (200, b"mine")
+    assert [one.connection for one in requests] == [1, 1]
+
+
+@pytest.mark.parametrize("request_bytes", [GET, POST])
+@pytest.mark.parametrize(("status", "mark"), REFUSALS)
+def test_a_repeated_refusal_of_the_same_request_is_not_believed(
+    virtual_run, request_bytes, status, mark
+):
+    # The request was sent to its target once more, where the identifier of the
+    # earlier refusal matches.
+    mark += b"X-Request-Id: r1\r\n"
+    refusal = conftest.http_response(b"no", status=status, extra=mark)
+    answered = []
+
+    async def script(request, sock):
+        if request.connection in answered:
+            await sock.sendall(refusal)
+        answered.append(request.connection)
+        if len(answered) == 1:
+            return refusal
+        return conftest.http_response(b"mine", extra=VALID)
+
+    response, _ = ask_twice(virtual_run, script, request_bytes, request_bytes)
+    assert (response.status, response.body) == (200, b"mine")
+
+
+@pytest.mark.parametrize("request_bytes", [GET, POST])
+def test_an_answer_with_two_identifiers_is_not_forwarded(
+    forward, request_bytes
+):
+    # An answer that was cut off, and a second one that was taken for its rest.
+    both = VALID + b"X-Request-Id: r0\r\n"
+    response, _ = forward(
+        request_bytes, responding(conftest.http_response(extra=both))
+    )
+    assert response.status in (502, 504)
+
+
+def cut_heads():
+    """Return the beginnings of an answer's head, and of its body."""
+    whole = conftest.http_response(b"ok", extra=VALID)
+    end = whole.index(b"\r\n\r\n") + 4
+    return [whole[:length] for length in range(1, end + 2)]
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+@pytest.mark.parametrize("request_bytes", [GET, POST])
+def test_an_answer_that_ends_in_its_head_is_not_forwarded(
+    virtual_run, request_bytes, is_kept
+):
+    async def test_one(begun):
+        async def script(request, sock):
+            if request.header(b"x-request-id") == [b"r0"]:
+                mine = VALID.replace(b"r1", b"r0")
+                return conftest.http_response(b"ok", extra=mine)
+            await sock.sendall(begun)
+            return None
+
+        rig = await create_entry((script,))
+        if is_kept:
+            earlier = request_bytes.replace(b"r1", b"r0")
+            first = await (await rig.caller()).request(earlier)
+            assert first.status == 200
+        response = await (await rig.caller()).request(request_bytes)
+        assert response.status in (502, 504), begun
+        assert b"x-response-signature" not in response.head.lower()
+        return len(rig.target[0].requests)
+
+    for begun in cut_heads():
+        sends = virtual_run(test_one, begun)
+        if request_bytes is POST:
+            assert sends == 1 + is_kept
