Let the soak play targets that leave unannounced and odd entries

In the soak targets always reported that they drain, and the store held nothing of other writers, so that it could not find what broke DRAIN.

Two deliberate faults of script/sabotage.py stand for it; they were not run.

--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -120,6 +120,33 @@
             ),
         ),
     ),
+    Mutation(
+        "odd-entries",
+        "was draining",
+        (
+            Edit(
+                "agateshelf/decoding.py",
+                "(msgspec.MsgspecError, UnicodeError, RecursionError)",
+                "(msgspec.MsgspecError, UnicodeError)",
+            ),
+        ),
+    ),
+    Mutation(
+        "unannounced-leaving",
+        "was draining",
+        (
+            Edit(
+                f"{_CORE}/feed/outages.py",
+                "if silent_for >= shortest_outage(state):",
+                "if feed.failed_at > now - 1.0:",
+            ),
+            Edit(
+                f"{_CORE}/feed/removals.py",
+                "latest = math.inf if are_many else in_force_by",
+                "latest = math.inf",
+            ),
+        ),
+    ),
     Mutation(
         "configuration-in-force",
         "did not apply version",
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -52,6 +52,16 @@
     TAKEN_OVER = "taken over"
 
 
+class Oddity(enum.Enum):
+    """What is odd about an entry of another writer among the targets'."""
+
+    NESTED = "nested too deeply"
+    NESTED_UNKNOWN = "nested too deeply in a field that nobody reads"
+    LARGE_NUMBER = "a number too large"
+    PORT_OUT_OF_RANGE = "a port out of range"
+    NO_TEXT = "bytes that are no text"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopEntry:
     """Stops an entry by SIGTERM, and restarts it some seconds later."""
@@ -358,6 +368,38 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveTogether:
+    """Removes the registrations of targets at once, as they leave unannounced.
+
+    They serve on for some seconds, exit, and are replaced by targets with new
+    names.
+
+    Attributes:
+        targets: Numbers of the targets.
+        reset_entry: Number of the entry whose connections to the store are
+            reset just before; None for none.
+        seconds: Time from their exit until they are replaced.
+    """
+
+    targets: tuple[int, ...]
+    reset_entry: int | None
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteOddEntry:
+    """Writes an entry among those of the targets that names none, for a while.
+
+    Attributes:
+        oddity: What is odd about it.
+        seconds: How long it stays.
+    """
+
+    oddity: Oddity
+    seconds: float
+
+
 Fault = (
     StopEntry
     | ReplaceEntries
@@ -385,6 +427,8 @@
     | TurnCold
     | CutEntries
     | EvacuateDomain
+    | LeaveTogether
+    | WriteOddEntry
 )
 
 
@@ -456,6 +500,10 @@
 EVACUATION_SHARE = 0.4
 # Share of plans with workspaces, one key of which is withdrawn.
 KEYS_SHARE = 0.5
+# Shares of plans with targets that leave together unannounced, and with an odd
+# entry among those of the targets.
+UNANNOUNCED_SHARE = 0.5
+ODD_SHARE = 0.5
 MAX_WORKSPACES = 4
 # Share of the plans with workspaces in which one more has a quota, and of these
 # in which the quota is lowered.
@@ -485,6 +533,8 @@
         *_draw_cut(seed, entries, seconds),
         *_draw_evacuation(seed, seconds),
         *_draw_cold(seed, targets, seconds),
+        *_draw_unannounced(seed, entries, targets, seconds),
+        *_draw_odd_entry(seed, seconds),
     )
     workspaces, withdrawals = _draw_keys(seed, seconds)
     quota, lowered = _draw_quota(seed, seconds) if workspaces else (0.0, [])
@@ -618,6 +668,33 @@
     return [(at, RestoreStore(rng.uniform(1.0, MAX_FAULT_SECONDS)))]
 
 
+def _draw_unannounced(
+    seed: int, entries: int, targets: int, seconds: float
+) -> list[tuple[float, Fault]]:
+    """Draw targets of both services that leave at once, with a generator.
+
+    One of each service stays. An entry may be reset just before.
+    """
+    rng = random.Random(f"{seed}/unannounced")
+    if rng.random() >= UNANNOUNCED_SHARE:
+        return []
+    at = rng.uniform(0.0, seconds / 2)
+    others = range(2, targets)
+    chosen = rng.sample(others, rng.randint(1, len(others)))
+    reset = rng.choice((None, rng.randrange(entries)))
+    lasts = rng.uniform(0.2, MAX_FAULT_SECONDS)
+    return [(at, LeaveTogether(tuple(sorted(chosen)), reset, lasts))]
+
+
+def _draw_odd_entry(seed: int, seconds: float) -> list[tuple[float, Fault]]:
+    rng = random.Random(f"{seed}/odd")
+    if rng.random() >= ODD_SHARE:
+        return []
+    at = rng.uniform(0.0, seconds / 4)
+    oddity = rng.choice(list(Oddity))
+    return [(at, WriteOddEntry(oddity, rng.uniform(1.0, seconds - at)))]
+
+
 def _draw_evacuation(seed: int, seconds: float) -> list[tuple[float, Fault]]:
     """Draw an evacuation, with a generator of its own as well."""
     rng = random.Random(f"{seed}/evacuation")
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -19,6 +19,7 @@
 from soak import faults
 from soak import history as history_lib
 from soak import invariants
+from soak import leaving
 from soak import signalling
 from soak import workspaces
 
@@ -128,6 +129,8 @@
             await _cut_entries(cluster, fault)
         case faults.EvacuateDomain():
             await evacuating.evacuate(cluster, fault)
+        case faults.LeaveTogether() | faults.WriteOddEntry():
+            await leaving.inject(cluster, fault)
         case faults.Burst():
             cluster.rate_factor *= 4.0
             await curio.sleep(fault.seconds)
--- a/src/agateshelf_standins/member.py
+++ b/src/agateshelf_standins/member.py
@@ -111,6 +111,8 @@
         The ledger records a write that failed, and each successful write of a
         state other than `ready`.
         """
+        if not self.options.registers:
+            return
         value = None
         if state is not None:
             value = json.dumps(
--- a/src/agateshelf_standins/target.py
+++ b/src/agateshelf_standins/target.py
@@ -51,6 +51,7 @@
             request away; empty to serve them.
         cold_until: Unix time until which a member is cold, which it says in
             answers to health checks and in its registration.
+        registers: Whether a member writes its registration.
         refusal_mark: Header, as `Name: value`, of the response to a request
             that did not run; empty for none.
     """
@@ -71,6 +72,7 @@
     leaving: bool = False
     pause: str = ""
     cold_until: float = 0
+    registers: bool = True
     refusal_mark: str = ""
 
 
