Log how long ago a stop was requested

The log of a stop could not tell a signal that the loop noticed late from a stop that took its time. The handler of the signal now notes its time, which the first line of the stop shows. Nothing else uses it yet.

--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -337,7 +337,10 @@
         reloader = reloading.Reloader(path, driver)
         await group.spawn(supervision.keep_running, "settings", reloader.run)
         await _await_stop(stop_signals, reloader)
-        _log.info("Stop requested, draining connections.")
+        _log.info(
+            "Stop requested {:.3f} s ago, draining connections.",
+            stop_signals.seconds_since_stop(),
+        )
         await stopping.stop(
             driver,
             caller_server,
--- a/src/agateshelf/daemon/signals.py
+++ b/src/agateshelf/daemon/signals.py
@@ -10,6 +10,8 @@
 
 import curio
 
+from agateshelf.daemon import clock
+
 
 @dataclasses.dataclass(slots=True)
 class Signals:
@@ -18,10 +20,25 @@
     Attributes:
         reader: Socket from which the signal numbers are read.
         writer: Socket to which the interpreter writes the signal numbers.
+        stop_received_at: Loop time of the first signal that asks for a stop,
+            which a busy loop reads later; None before it.
     """
 
     reader: curio.io.Socket
     writer: socket.socket
+    stop_received_at: float | None = None
+
+    def on_signal(self, number: int, frame: object) -> None:
+        """Note the time of a signal, whose number comes over the sockets."""
+        del frame
+        if number != signal.SIGHUP and self.stop_received_at is None:
+            self.stop_received_at = clock.now()
+
+    def seconds_since_stop(self) -> float:
+        """Return the seconds since a stop was asked for, 0 if none was."""
+        if self.stop_received_at is None:
+            return 0.0
+        return clock.now() - self.stop_received_at
 
     async def next(self) -> signal.Signals:
         """Wait for the next signal."""
@@ -50,10 +67,7 @@
     reader.setblocking(False)
     writer.setblocking(False)
     signal.set_wakeup_fd(writer.fileno())
+    created = Signals(curio.io.Socket(reader), writer)
     for number in numbers:
-        signal.signal(number, _ignore)
-    return Signals(curio.io.Socket(reader), writer)
-
-
-def _ignore(number: int, frame: object) -> None:
-    del number, frame
+        signal.signal(number, created.on_signal)
+    return created
