Refuse requests at once that a stopping entry might break off

Cause: a stopping entry passed on whatever it read, and refused what was left at a fixed time, without regard to how much of the stop remained when a request began.

A request that begins late in the stop is now refused as not run, with a short Retry-After, unless its deadline passes before the end of the stop. That holds for first requests on open connections, bodies that end late, requests behind others on their connection and relayed ones, and for services of configured entries. Non-idempotent requests that waited in a queue, or that a target did not run, are not sent late either, nor given to a relay. Owners are told the end of the stop in place of a later deadline, so that a request whose work takes longer is refused before it is sent, whenever it arrived; it is no trial of an estimate.

--- a/src/agateshelf/core/calls/lifecycle.py
+++ b/src/agateshelf/core/calls/lifecycle.py
@@ -22,6 +22,7 @@
 from agateshelf.core.retries import budget
 from agateshelf.core.routing import models as routing_models
 from agateshelf.core.routing import placing
+from agateshelf.core.stopping import admission as stop_admission
 
 
 def on_request(
@@ -41,6 +42,10 @@
     refusal = poison_refusals.refusal_of(
         state, now, fingerprint_of(call), service.poison_crashes
     )
+    if refusal is None and stop_admission.is_too_late(
+        state, now, call.deadline
+    ):
+        refusal = refusals.stopping(call)
     if refusal is not None:
         return give_up(state, call, refusal)
     admission.admit(state, now, call)
--- a/src/agateshelf/core/dispatch/dispatchers.py
+++ b/src/agateshelf/core/dispatch/dispatchers.py
@@ -305,6 +305,7 @@
         workspace_priority=message.workspace_priority,
         domains=region_lookup.domains_in(state, message.regions),
         connected=message.connected,
+        may_be_trial=message.may_be_trial,
         crossing=round_trips.ways_from(state, domain),
     )
 
--- a/src/agateshelf/core/dispatch/messages.py
+++ b/src/agateshelf/core/dispatch/messages.py
@@ -87,6 +87,8 @@
         connected: Targets to which the sender has an idle connection that the
             request may use, the most recently used first. None from a version
             that doesn't tell.
+        may_be_trial: Whether it may test an estimate by which it can't be
+            served before its timeout.
     """
 
     wire_name: ClassVar[str] = "TurnAsked"
@@ -107,6 +109,7 @@
     workspace_priority: int = 0
     regions: tuple[str, ...] = ()
     connected: tuple[str, ...] | None = None
+    may_be_trial: bool = True
 
 
 class DispatchQueued(peer_models.PeerMessage, frozen=True, omit_defaults=True):
--- a/src/agateshelf/core/dispatch/models.py
+++ b/src/agateshelf/core/dispatch/models.py
@@ -87,6 +87,7 @@
             usual speed.
         work_updated_at: Time as of which the work done is estimated.
         is_trial: Whether its run replaces the estimate of work.
+        may_be_trial: Whether it may become one.
         workspace: Name of the workspace that sent it; empty if there is none.
         workspace_priority: Rank of the workspace, which goes before `priority`.
         priorities: Both priorities, the workspace's first.
@@ -122,6 +123,7 @@
     work_done: float = 0.0
     work_updated_at: float = 0.0
     is_trial: bool = False
+    may_be_trial: bool = True
     workspace: str = ""
     workspace_priority: int = 0
     fair_rank: tuple[tuple[int, int], float] = ((0, 0), 0.0)
--- a/src/agateshelf/core/dispatch/requester.py
+++ b/src/agateshelf/core/dispatch/requester.py
@@ -19,6 +19,7 @@
 from agateshelf.core.overload import relief
 from agateshelf.core.peers import models as peer_models
 from agateshelf.core.regions import lookup as region_lookup
+from agateshelf.core.stopping import admission as stop_admission
 from agateshelf.core.target_notices import models as notice_models
 from agateshelf.core.target_notices import records as notice_records
 from agateshelf.core.target_notices import spreading
@@ -79,8 +80,8 @@
         priority=call.route.priority,
         idempotent=call.route.idempotent,
         work=call.route.target_latency * const.INITIAL_WORK_SHARE,
-        soft_timeout=call.soft_deadline - now,
-        timeout=call.deadline - now,
+        soft_timeout=stop_admission.answer_by(state, call.soft_deadline) - now,
+        timeout=stop_admission.answer_by(state, call.deadline) - now,
         tried=tuple(sorted(call.tried)),
         notices=spreading.take_untold(state, now, pending.owner, pending.pool),
         workspace=call.workspace or "",
@@ -89,6 +90,7 @@
         connected=idle_connections.connected_targets(
             state, now, pending.pool, fresh=not call.route.idempotent
         ),
+        may_be_trial=not stop_admission.may_outlast(state, call.deadline),
     )
     return owners.send(state, pending.owner, message)
 
--- a/src/agateshelf/core/dispatch/shedding.py
+++ b/src/agateshelf/core/dispatch/shedding.py
@@ -122,7 +122,9 @@
     An estimate that is too high refuses all requests of a route, and without
     runs it would never be corrected. One request at a time is tried then.
     """
-    if request.is_trial or now + request.initial_work > request.deadline:
+    if request.is_trial or not request.may_be_trial:
+        return False
+    if now + request.initial_work > request.deadline:
         return False
     trial = dispatcher.trials.get(request.route)
     if trial in dispatcher.waiting or trial in dispatcher.granted:
--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -5,6 +5,7 @@
 to each other, "(timer)" events that the core schedules.
 """
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -210,8 +211,14 @@
     configuration: "configuration_models.Configuration"
 
 
-class StopRequested(msgspec.Struct, frozen=True):
-    """A graceful stop of the process was requested."""
+class StopRequested(msgspec.Struct, frozen=True, repr_omit_defaults=True):
+    """A graceful stop of the process was requested.
+
+    Attributes:
+        seconds: Time until the remaining calls are refused.
+    """
+
+    seconds: float = math.inf
 
 
 class StopDeadlinePassed(msgspec.Struct, frozen=True):
--- a/src/agateshelf/core/forwarding/arrivals.py
+++ b/src/agateshelf/core/forwarding/arrivals.py
@@ -24,6 +24,7 @@
 from agateshelf.core.routes import matching
 from agateshelf.core.routes import models as route_models
 from agateshelf.core.routes import splitting
+from agateshelf.core.stopping import admission as stop_admission
 from agateshelf.core.workspaces import checking as workspace_checks
 from agateshelf.core.workspaces import models as workspace_models
 
@@ -58,6 +59,8 @@
         decided_by = admission.inputs_of(state, now, event)
         return _refuse_early(state, event, overloaded, *decided_by)
     call = _create_call(state, now, event, route, fingerprint)
+    if stop_admission.is_too_late(state, now, call.deadline):
+        return _refuse_early(state, event, refusals.stopping(call))
     workspace_checks.apply(state, call, identity)
     if not regions.has_target(state, call.service, call.regions):
         refusal = region_refusals.no_allowed_region(state.rng)
@@ -105,6 +108,8 @@
     if isinstance(target, outcome_models.Refusal):
         return _refuse_early(state, event, target)
     call = _create_call(state, now, event, route, fingerprint)
+    if stop_admission.is_too_late(state, now, call.deadline):
+        return _refuse_early(state, event, refusals.stopping(call))
     workspace_checks.apply(state, call, identity)
     call.service = target.service
     call.relayed_for = event.caller
--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -299,6 +299,8 @@
         return None
     if call.deadline - now < const.MIN_ATTEMPT_SECONDS:
         return None
+    if sending.is_too_late(state, now, call):
+        return None
     if workspace_checks.check_send(state, now, call) is not None:
         return None
     if not regions.allows(state, registration.failure_domain, call.regions):
--- a/src/agateshelf/core/forwarding/refusals.py
+++ b/src/agateshelf/core/forwarding/refusals.py
@@ -9,6 +9,7 @@
 from agateshelf.core.quotas import const as quota_const
 from agateshelf.core.reach import const as reach_const
 from agateshelf.core.regions import const as region_const
+from agateshelf.core.stopping import const as stop_const
 from agateshelf.core.target_notices import models as notice_models
 
 _NOT_RUN = outcome_models.Outcome.NOT_RUN
@@ -180,12 +181,12 @@
 
 
 def stopping(call: models.Call) -> outcome_models.Refusal:
-    """Return the refusal of a call left when the entry has to stop."""
+    """Return the refusal of a call for which a stop leaves no time."""
     return _refusal(
         call,
         outcome_const.REASON_STOPPING,
         "This entry is stopping and could not wait for the answer.",
-        const.RETRY_AFTER_SECONDS,
+        stop_const.RETRY_AFTER_SECONDS,
     )
 
 
--- a/src/agateshelf/core/forwarding/sending.py
+++ b/src/agateshelf/core/forwarding/sending.py
@@ -23,6 +23,7 @@
 from agateshelf.core.reach import detection
 from agateshelf.core.reach import relays
 from agateshelf.core.regions import refusals as region_refusals
+from agateshelf.core.stopping import admission as stop_admission
 from agateshelf.core.target_notices import gate
 from agateshelf.core.target_notices import models as notice_models
 from agateshelf.core.target_notices import records as notice_records
@@ -65,6 +66,8 @@
         call.held_grant = event
         return quotas.ask(state, now, call) or []
     refusal = workspace_checks.check_send(state, now, call)
+    if refusal is None and is_too_late(state, now, call):
+        refusal = refusals.stopping(call)
     if refusal is not None:
         return _refuse_granted(state, now, call, event, refusal)
     obstacle = gate.check_send(
@@ -87,6 +90,16 @@
     return start_attempt(state, now, call, registration, event)
 
 
+def is_too_late(state: core_state.State, now: float, call: models.Call) -> bool:
+    """Return whether the stop of this entry leaves no time for a send.
+
+    An idempotent request can be sent again, should it be broken off.
+    """
+    if call.route.idempotent:
+        return False
+    return stop_admission.is_too_late(state, now, call.deadline)
+
+
 def _refuse_granted(
     state: core_state.State,
     now: float,
@@ -281,6 +294,10 @@
     if call.attempts:
         return []
     refusal = refusals.not_granted(call, event.reason, event.retry_after)
+    if event.reason is dispatch_models.Refusal.TOO_LATE and (
+        stop_admission.may_outlast(state, call.deadline)
+    ):
+        refusal = refusals.stopping(call)
     if event.obstacle is not None:
         refusal = refusals.no_room(call, event.obstacle, event.retry_after)
     return finishing.give_up(state, now, call, refusal, event.log_details)
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -24,6 +24,7 @@
 from agateshelf.core.poison import messages as poison_messages
 from agateshelf.core.poison import models as poison_models
 from agateshelf.core.poison import replication
+from agateshelf.core.stopping import admission as stop_admission
 
 Effects = list[effects.Effect]
 
@@ -68,7 +69,10 @@
         case events.SeedsChanged():
             return membership.on_seeds(state, event)
         case events.StopRequested():
-            return _on_stop(state, now)
+            return _on_stop(state, now, event)
+        case events.StopDeadlinePassed():
+            stop_admission.on_deadline(state, now)
+            return _delegate(state, now, event)
         case (
             membership_models.ProbeRoundDue()
             | membership_models.AckDue()
@@ -112,10 +116,13 @@
     return emitted
 
 
-def _on_stop(state: core_state.State, now: float) -> Effects:
+def _on_stop(
+    state: core_state.State, now: float, event: events.StopRequested
+) -> Effects:
     state.stopping = True
     return [
         effects.BecomeUnready(),
+        *stop_admission.on_stop(state, now, event.seconds),
         *membership.on_stop(state, now),
         *_mode_reducer(state).on_stop(state, now),
     ]
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -20,6 +20,7 @@
 from agateshelf.core.reach import models as reach_models
 from agateshelf.core.regions import models as region_models
 from agateshelf.core.routes import models as route_models
+from agateshelf.core.stopping import models as stop_models
 from agateshelf.core.target_notices import models as notice_models
 from agateshelf.core.workspaces import models as workspace_models
 
@@ -64,6 +65,7 @@
             are reduced before the reducer returns.
         last_store_request: Number of the latest request to the store.
         stopping: Whether a graceful stop has begun.
+        stop: Its times.
         unix_offset: Unix time less the loop's time at the start, in seconds.
         regions: Region of each failure domain; one that is missing is in none.
         revocation_seconds: Time after which a withdrawn key must no longer be
@@ -127,6 +129,9 @@
     )
     last_store_request: int = 0
     stopping: bool = False
+    stop: stop_models.StopState = dataclasses.field(
+        default_factory=stop_models.StopState
+    )
     unix_offset: float = 0.0
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
     revocation_seconds: float | None = None
--- /dev/null
+++ b/src/agateshelf/core/stopping/admission.py
@@ -0,0 +1,49 @@
+"""Decides which requests a stopping entry may still begin.
+
+A request that begins late may run for longer than the entry lives. It is
+refused as not run, so that its caller can send it to another entry, unless its
+deadline passes before the end of the stop: its caller then gets the answer or
+learns of the deadline, whatever the target does.
+"""
+
+from agateshelf.core import effects
+from agateshelf.core import state as core_state
+from agateshelf.core.stopping import const
+
+
+def on_stop(
+    state: core_state.State, now: float, seconds: float
+) -> list[effects.Effect]:
+    """Note the times of a stop that ends after some seconds.
+
+    A later request for a stop can only shorten it.
+    """
+    ends_at = now + seconds
+    if ends_at >= state.stop.ends_at:
+        return []
+    accepts = min(const.MAX_ACCEPT_SECONDS, const.ACCEPT_SHARE * seconds)
+    state.stop.ends_at = ends_at
+    state.stop.late_from = min(state.stop.late_from, now + accepts)
+    details = (("accepts_seconds", accepts), ("ends_seconds", seconds))
+    return [effects.LogEvent("entry.stopping", details=details)]
+
+
+def on_deadline(state: core_state.State, now: float) -> None:
+    """Let no request begin any more, as the remaining calls are refused."""
+    state.stop.ends_at = min(state.stop.ends_at, now)
+    state.stop.late_from = min(state.stop.late_from, now)
+
+
+def may_outlast(state: core_state.State, deadline: float) -> bool:
+    """Return whether a request may still run when the entry has to exit."""
+    return deadline > state.stop.ends_at
+
+
+def is_too_late(state: core_state.State, now: float, deadline: float) -> bool:
+    """Return whether a request must not begin any more."""
+    return now >= state.stop.late_from and may_outlast(state, deadline)
+
+
+def answer_by(state: core_state.State, deadline: float) -> float:
+    """Return the time by which a target has to answer a request."""
+    return min(deadline, state.stop.ends_at)
--- a/src/agateshelf/daemon/stopping.py
+++ b/src/agateshelf/daemon/stopping.py
@@ -37,7 +37,8 @@
         relay_server: The server for other entries, whose connections are closed
             as well.
     """
-    await driver.post(events.StopRequested())
+    seconds = limits.unready_seconds + limits.stop_seconds
+    await driver.post(events.StopRequested(seconds))
     if await _signalled_within(stop_signals, limits.unready_seconds):
         _log.warning("Second stop signal received before the listener closed.")
         await listener.close()
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -1,5 +1,7 @@
 """Tests of the life cycle of a call, on the reducer."""
 
+import pytest
+
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import reducer
@@ -104,3 +106,17 @@
     assert refusal.outcome is outcome_models.Outcome.UNKNOWN
     assert refusal.reason == "stopping"
     assert not state.calls.calls
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_late_request_in_a_stop_is_refused_unless_it_must_end(state, method):
+    # It was accepted, and broken off at the end of the stop.
+    reducer.reduce(state, 1.0, events.StopRequested(4.0))
+    early = events.RequestArrived(1, "d", method, "/bookings/1")
+    assert started(reducer.reduce(state, 2.9, early))
+    late = events.RequestArrived(2, "d", method, "/bookings/1")
+    refusal = refused(reducer.reduce(state, 3.1, late))
+    assert refusal.outcome is outcome_models.Outcome.NOT_RUN
+    assert refusal.reason == "stopping"
+    short = events.RequestArrived(3, "d", method, "/bookings/1", timeout=1.8)
+    assert started(reducer.reduce(state, 3.1, short))
--- /dev/null
+++ b/tests/daemon/test_late_requests.py
@@ -0,0 +1,189 @@
+"""Requests that come late in a graceful stop of an entry that follows routes.
+
+Guards against incident LOST: they were passed on to targets and broken off with
+502 at the end of the grace period, though the targets were at work on them.
+"""
+
+import dataclasses
+import socket
+
+import curio
+import pytest
+from tests.core import routed_fleet
+from tests.daemon import conftest
+from tests.daemon import test_routes
+
+from agateshelf.daemon import clock
+from agateshelf.daemon import listening
+from agateshelf.daemon import main as daemon_main
+from agateshelf.daemon import signals
+from agateshelf.daemon import stopping
+from agateshelf.documents import settings
+
+GRACE_SECONDS = 6.0
+# The users' rule: a request sent later than this isn't broken off.
+LATE_SECONDS = 3.0
+REQUEST = (
+    b"%b %b HTTP/1.1\r\nHost: recall.example\r\nX-Request-Id: r1\r\n"
+    b"X-Deadline-Ms: %d\r\nContent-Length: 2\r\n\r\n"
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Late:
+    """A request late in a stop.
+
+    Attributes:
+        sent_at: Seconds from the signal until its last byte is sent.
+        idempotent: Whether it may run more than once.
+        timeout: Its timeout in seconds.
+        head_at: Seconds from the signal until its head is sent.
+        is_pipelined: Whether it waits behind another request that was sent in
+            the same moment.
+        is_relayed: Whether another entry sends it.
+    """
+
+    sent_at: float
+    idempotent: bool = False
+    timeout: float = 8.0
+    head_at: float | None = None
+    is_pipelined: bool = False
+    is_relayed: bool = False
+
+    def head(self):
+        method = b"GET" if self.idempotent else b"POST"
+        path = b"/vin/1" if self.idempotent else b"/book/1"
+        head = REQUEST % (method, path, round(self.timeout * 1000))
+        if self.is_relayed:
+            head = head[:-2] + b"Agateshelf-Relay-Target: t0\r\n\r\n"
+        return head
+
+
+def create_table():
+    lookups = routed_fleet.create_route(timeout=8.0)
+    bookings = routed_fleet.create_route(
+        name="b", prefix="/book/", idempotent=False, timeout=8.0
+    )
+    return routed_fleet.create_table(1, lookups, bookings)
+
+
+async def stop(rig, signal_lag=0.0):
+    """Stop the entry; return the task of its stop."""
+    cfg = settings.Settings(
+        entry="entry-0",
+        failure_domain="boston",
+        callers=settings.SecureListen(port=0),
+        platform=settings.Platform(store="127.0.0.1:9"),
+        routes=settings.Routes(grace_seconds=GRACE_SECONDS),
+    )
+    reader, writer = socket.socketpair()
+    reader.setblocking(False)
+    stop_signals = signals.Signals(curio.io.Socket(reader), writer)
+    stop_signals.stop_received_at = clock.now()
+    await curio.sleep(signal_lag)
+    listener = listening.create_listener(
+        settings.SecureListen(port=0), rig.server.serve, "/callers"
+    )
+    await listener.start()
+    return await curio.spawn(
+        stopping.stop,
+        rig.driver,
+        rig.server,
+        listener,
+        stop_signals,
+        daemon_main._stop_limits(cfg),
+    )
+
+
+@pytest.fixture
+def send_late(virtual_run):
+    """Return a function that sends a late request.
+
+    It returns the status of the response, None if the connection was closed
+    instead, the seconds it took, and the number of runs at the target.
+    """
+
+    def run(late, work_seconds=2.3, signal_lag=0.0):
+        async def work(_request, _sock):
+            await curio.sleep(work_seconds)
+            return conftest.http_response(extra=test_routes.VALID)
+
+        async def body():
+            rig = await test_routes.create_entry(
+                [work], create_table(), is_relay=late.is_relayed
+            )
+            began = clock.now()
+            caller = await rig.caller()
+            stopped = await stop(rig, signal_lag)
+            head_at = late.sent_at if late.head_at is None else late.head_at
+            await curio.sleep(began + head_at - clock.now())
+            data = late.head()
+            if late.is_pipelined:
+                data = Late(0.0, timeout=1.0).head() + b"hi" + data
+            await caller.send(data)
+            await curio.sleep(began + late.sent_at - clock.now())
+            await caller.send(b"hi")
+            sent_at = clock.now()
+            count = 2 if late.is_pipelined else 1
+            try:
+                status = (await caller.read_responses(count))[-1].status
+            except EOFError:
+                status = None
+            seconds = clock.now() - sent_at
+            await stopped.join()
+            assert clock.now() <= began + GRACE_SECONDS
+            return status, seconds, len(rig.target[0].requests)
+
+        return virtual_run(body)
+
+    return run
+
+
+MOMENTS = (
+    *(Late(sent_at) for sent_at in (2.95, 3.05, 3.2, 3.35, 3.45)),
+    *(Late(sent_at, idempotent=True) for sent_at in (2.95, 3.2, 3.45)),
+    Late(4.0, head_at=2.9),
+    Late(5.0, head_at=2.9, idempotent=True),
+    Late(3.2, is_relayed=True),
+    Late(3.4, is_relayed=True, idempotent=True),
+)
+
+
+@pytest.mark.parametrize("late", MOMENTS, ids=str)
+def test_late_request_whose_end_is_not_sure_is_refused_at_once(send_late, late):
+    status, seconds, runs = send_late(late)
+    assert (status, runs) == (503, 0)
+    assert seconds < 0.1
+
+
+@pytest.mark.parametrize("late", MOMENTS, ids=str)
+def test_late_request_is_served_if_it_must_end_in_time(send_late, late):
+    late = dataclasses.replace(late, timeout=5.2 - late.sent_at)
+    status, _, runs = send_late(late, work_seconds=0.1)
+    assert (status, runs) == (200, 1)
+
+
+@pytest.mark.parametrize("late", MOMENTS, ids=str)
+def test_late_request_is_not_broken_off_before_its_deadline(send_late, late):
+    late = dataclasses.replace(late, timeout=5.2 - late.sent_at)
+    status, seconds, runs = send_late(late, work_seconds=9.0)
+    # It isn't sent if the target can't be expected to answer in time.
+    assert status == (504 if runs else 503)
+    if runs:
+        assert seconds >= late.timeout - 0.01
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_request_read_behind_another_one_counts_from_then(
+    send_late, idempotent
+):
+    late = Late(2.0, idempotent=idempotent, is_pipelined=True)
+    status, _, runs = send_late(late)
+    # The one ahead got its answer after 1 s, at its deadline.
+    assert (status, runs) == (503, 1)
+
+
+@pytest.mark.parametrize("sent_at", [0.1, 1.0, 2.0])
+def test_early_request_is_served(send_late, sent_at):
+    status, _, runs = send_late(Late(sent_at))
+    assert (status, runs) == (200, 1)
