Count the times of a stop from its signal

A loop that is busy for some time reads a stop signal late. All times of the stop began then, so that its end came after the grace period: with a delay of 0.5 s the last refusals were written at 6.09 s of 6 s, with one of 1 s at 6.36 s, where SIGKILL has ended the process. Callers see a closed connection and no answer.

The stop now counts from the time that the handler of the signal noted.

--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -215,10 +215,12 @@
     """A graceful stop of the process was requested.
 
     Attributes:
-        seconds: Time until the remaining calls are refused.
+        seconds: Time from the signal until the remaining calls are refused.
+        elapsed: Time that has passed since the signal.
     """
 
     seconds: float = math.inf
+    elapsed: float = 0.0
 
 
 class StopDeadlinePassed(msgspec.Struct, frozen=True):
--- a/src/agateshelf/core/reducer.py
+++ b/src/agateshelf/core/reducer.py
@@ -122,7 +122,7 @@
     state.stopping = True
     return [
         effects.BecomeUnready(),
-        *stop_admission.on_stop(state, now, event.seconds),
+        *stop_admission.on_stop(state, now, event),
         *membership.on_stop(state, now),
         *_mode_reducer(state).on_stop(state, now),
     ]
--- a/src/agateshelf/core/stopping/admission.py
+++ b/src/agateshelf/core/stopping/admission.py
@@ -7,24 +7,27 @@
 """
 
 from agateshelf.core import effects
+from agateshelf.core import events
 from agateshelf.core import state as core_state
 from agateshelf.core.stopping import const
 
 
 def on_stop(
-    state: core_state.State, now: float, seconds: float
+    state: core_state.State, now: float, event: events.StopRequested
 ) -> list[effects.Effect]:
-    """Note the times of a stop that ends after some seconds.
-
-    A later request for a stop can only shorten it.
-    """
-    ends_at = now + seconds
+    """Note the times of a stop; a further request can only shorten it."""
+    requested_at = now - event.elapsed
+    ends_at = requested_at + event.seconds
     if ends_at >= state.stop.ends_at:
         return []
-    accepts = min(const.MAX_ACCEPT_SECONDS, const.ACCEPT_SHARE * seconds)
+    accepts = min(const.MAX_ACCEPT_SECONDS, const.ACCEPT_SHARE * event.seconds)
     state.stop.ends_at = ends_at
-    state.stop.late_from = min(state.stop.late_from, now + accepts)
-    details = (("accepts_seconds", accepts), ("ends_seconds", seconds))
+    state.stop.late_from = min(state.stop.late_from, requested_at + accepts)
+    details = (
+        ("accepts_seconds", round(accepts, 3)),
+        ("ends_seconds", round(event.seconds, 3)),
+        ("elapsed_seconds", round(event.elapsed, 3)),
+    )
     return [effects.LogEvent("entry.stopping", details=details)]
 
 
--- a/src/agateshelf/daemon/stopping.py
+++ b/src/agateshelf/daemon/stopping.py
@@ -3,12 +3,16 @@
 The core reports when no call is pending, but the final response of a call may
 not be written yet. The process exits only when no connection and no exchange
 with a caller is in flight either.
+
+All times count from the signal, which a busy loop may read late: whoever sent
+it kills the process after a fixed time.
 """
 
 import curio
 import logbook
 
 from agateshelf.core import events
+from agateshelf.daemon import clock
 from agateshelf.daemon import driver as daemon_driver
 from agateshelf.daemon import listening
 from agateshelf.daemon import signals
@@ -37,9 +41,12 @@
         relay_server: The server for other entries, whose connections are closed
             as well.
     """
+    elapsed = stop_signals.seconds_since_stop()
     seconds = limits.unready_seconds + limits.stop_seconds
-    await driver.post(events.StopRequested(seconds))
-    if await _signalled_within(stop_signals, limits.unready_seconds):
+    requested_at = clock.now() - elapsed
+    await driver.post(events.StopRequested(seconds, elapsed))
+    unready_until = requested_at + limits.unready_seconds
+    if await _signalled_before(stop_signals, unready_until):
         _log.warning("Second stop signal received before the listener closed.")
         await listener.close()
         await _refuse_remaining(driver, limits)
@@ -48,7 +55,8 @@
     await caller_server.stop()
     if relay_server is not None:
         await relay_server.stop()
-    async with curio.ignore_after(limits.stop_seconds) as deadline:
+    left = requested_at + seconds - clock.now()
+    async with curio.ignore_after(max(0.0, left)) as deadline:
         async with curio.TaskGroup(wait=any) as group:
             drained = await group.spawn(_drain, driver)
             await group.spawn(stop_signals.next_stop)
@@ -65,14 +73,13 @@
     await _refuse_remaining(driver, limits)
 
 
-async def _signalled_within(
-    stop_signals: signals.Signals, seconds: float
-) -> bool:
+async def _signalled_before(stop_signals: signals.Signals, end: float) -> bool:
     """Wait for the balancer to notice that the entry is not ready.
 
     Returns:
         Whether a stop signal was received meanwhile.
     """
+    seconds = end - clock.now()
     if seconds <= 0:
         return False
     async with curio.ignore_after(seconds):
--- a/tests/daemon/test_late_requests.py
+++ b/tests/daemon/test_late_requests.py
@@ -187,3 +187,11 @@
 def test_early_request_is_served(send_late, sent_at):
     status, _, runs = send_late(Late(sent_at))
     assert (status, runs) == (200, 1)
+
+
+@pytest.mark.parametrize("signal_lag", [0.1, 0.5, 1.0])
+def test_late_requests_count_from_the_signal(send_late, signal_lag):
+    # The loop may notice the signal late; SIGKILL comes after the grace period
+    # all the same.
+    status, _, runs = send_late(Late(3.05), signal_lag=signal_lag)
+    assert (status, runs) == (503, 0)
