Let the soak send requests late in planned stops

The soak's callers use connections at once, and the longest route timeout was shorter than what is left of a stop, so that no request was ever at work at its end. Plans now have stops under first requests that come late, on connections opened before, for a route whose requests run for 1.8 s of 3 s.

Invariant: no request that was sent in the second half of a stop is broken off while its target runs it.

--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -109,6 +109,23 @@
             ),
         ),
     ),
+    Mutation(
+        "late-requests-in-stops",
+        "was broken off",
+        (
+            Edit(
+                f"{_CORE}/stopping/admission.py",
+                "return now >= state.stop.late_from and may_outlast("
+                "state, deadline)",
+                "return False",
+            ),
+            Edit(
+                f"{_CORE}/stopping/admission.py",
+                "return min(deadline, state.stop.ends_at)",
+                "return deadline",
+            ),
+        ),
+    ),
     Mutation(
         "draining",
         "which was draining",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -72,7 +72,7 @@
     async def _use_connection(self, entry: int) -> None:
         """Send requests over one connection until it is closed."""
         process_id = self.cluster.entries[entry].process_id
-        sock = await _connect(self.cluster.entries[entry].caller_address)
+        sock = await connect(self.cluster.entries[entry].caller_address)
         conn = h11.Connection(h11.CLIENT)
         async with sock:
             for _ in range(self.rng.randint(1, _MAX_REQUESTS_PER_CONNECTION)):
@@ -214,21 +214,36 @@
         key=who.key,
     )
     try:
-        sock = await _connect(cluster.entries[entry].caller_address, source)
+        sock = await connect(cluster.entries[entry].caller_address, source)
     except OSError:
         return
     async with sock:
-        conn = h11.Connection(h11.CLIENT)
-        call.sent_at = time.time()
-        try:
-            await _send(sock, conn, call, ([], False), who)
-        except OSError:
-            return
-        history.calls.append(call)
-        await _await_response(sock, conn, call)
+        await send_on(sock, history, call, who)
 
 
-async def _connect(address: str, source: str = "") -> Any:
+async def send_on(
+    sock: Any,
+    history: history_lib.History,
+    call: history_lib.Call,
+    who: workspaces.Credentials,
+) -> None:
+    """Send a request without a body on an open connection and record it."""
+    conn = h11.Connection(h11.CLIENT)
+    call.sent_at = time.time()
+    try:
+        await _send(sock, conn, call, ([], False), who)
+    except OSError:
+        return
+    history.calls.append(call)
+    await _await_response(sock, conn, call)
+
+
+async def connect(address: str, source: str = "") -> Any:
+    """Connect to an entry, from a loopback address if one is given.
+
+    Raises:
+        OSError: It accepts no connection in time.
+    """
     host, _, port = address.rpartition(":")
     bound = (source, 0) if source else None
     try:
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -23,12 +23,12 @@
 from soak import faults
 from soak import history as history_lib
 from soak import invariants
+from soak import late_requests
 from soak import links
 from soak import quotas
 from soak import workspaces as workspaces_lib
 
 DOMAINS = ("boston", "hartford")
-GRACE_SECONDS = 4.0
 DRAIN_MS = 3500.0
 # Time for which a target counts as cold that was unreachable.
 WARMUP_SECONDS = 6.0
@@ -225,6 +225,8 @@
             ),
             *("--slots", "4", "--drain-ms", str(DRAIN_MS)),
             *("--crash-mark", invariants.CRASH_MARK),
+            *("--long-mark", late_requests.LONG_PREFIX),
+            *("--long-ms", str(late_requests.LONG_SECONDS * 1000)),
         )
         target.link.upstream = target.process.address
         target.down = False
@@ -297,6 +299,14 @@
         "routes": [
             route("lookups", "/vin/", "status"),
             route("bookings", "/book/", "bookings", **booking, priority=1),
+            route(
+                "reports",
+                late_requests.LONG_PREFIX,
+                "bookings",
+                kind="unsafe",
+                timeout=late_requests.LONG_TIMEOUT_SECONDS * 1000,
+                target_latency=late_requests.LONG_SECONDS * 1000,
+            ),
             *markers,
         ],
         "services": [
@@ -392,7 +402,7 @@
             "repeat_slack": invariants.RETRY_SLACK,
             "repeat_seconds": invariants.RETRY_WINDOW_SECONDS,
             "probes_per_second": 40,
-            "grace_seconds": GRACE_SECONDS,
+            "grace_seconds": late_requests.GRACE_SECONDS,
         },
         "logs": {"json_lines": True},
     }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -70,6 +70,22 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopUnderLateRequests:
+    """Stops an entry, while callers send their first requests late.
+
+    Attributes:
+        entry: Number of the entry.
+        seconds: Time after which it starts again.
+        sent_at: When each caller sends a request on a connection that it opened
+            before, in seconds from the signal.
+    """
+
+    entry: int
+    seconds: float
+    sent_at: tuple[float, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplaceEntries:
     """Replaces entries one after the other, waiting until each is ready.
@@ -429,6 +445,7 @@
     | EvacuateDomain
     | LeaveTogether
     | WriteOddEntry
+    | StopUnderLateRequests
 )
 
 
@@ -504,6 +521,11 @@
 # entry among those of the targets.
 UNANNOUNCED_SHARE = 0.5
 ODD_SHARE = 0.5
+# Share of plans with a stop under late requests, how many these are, and the
+# latest one, in seconds from the signal.
+LATE_SHARE = 0.6
+LATE_REQUESTS = (6, 16)
+LAST_LATE_SECONDS = 2.6
 MAX_WORKSPACES = 4
 # Share of the plans with workspaces in which one more has a quota, and of these
 # in which the quota is lowered.
@@ -535,6 +557,7 @@
         *_draw_cold(seed, targets, seconds),
         *_draw_unannounced(seed, entries, targets, seconds),
         *_draw_odd_entry(seed, seconds),
+        *_draw_late_requests(seed, entries, seconds),
     )
     workspaces, withdrawals = _draw_keys(seed, seconds)
     quota, lowered = _draw_quota(seed, seconds) if workspaces else (0.0, [])
@@ -695,6 +718,20 @@
     return [(at, WriteOddEntry(oddity, rng.uniform(1.0, seconds - at)))]
 
 
+def _draw_late_requests(
+    seed: int, entries: int, seconds: float
+) -> list[tuple[float, Fault]]:
+    rng = random.Random(f"{seed}/late")
+    if rng.random() >= LATE_SHARE:
+        return []
+    at = rng.uniform(0.0, seconds / 2)
+    count = rng.randint(*LATE_REQUESTS)
+    times = (rng.uniform(0.0, LAST_LATE_SECONDS) for _ in range(count))
+    entry = rng.randrange(entries)
+    sent_at = tuple(sorted(times))
+    return [(at, StopUnderLateRequests(entry, rng.uniform(0.2, 2.0), sent_at))]
+
+
 def _draw_evacuation(seed: int, seconds: float) -> list[tuple[float, Fault]]:
     """Draw an evacuation, with a generator of its own as well."""
     rng = random.Random(f"{seed}/evacuation")
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -19,6 +19,7 @@
 from soak import faults
 from soak import history as history_lib
 from soak import invariants
+from soak import late_requests
 from soak import leaving
 from soak import signalling
 from soak import workspaces
@@ -46,6 +47,13 @@
         case faults.StopEntry():
             entry = cluster.entries[fault.entry]
             await _stop_entry(cluster, entry, fault.seconds, entry.source)
+        case faults.StopUnderLateRequests():
+            entry = cluster.entries[fault.entry]
+            if entry.down or entry.popen is None:
+                return
+            async with curio.TaskGroup() as group:
+                await late_requests.spawn(cluster, fault, group)
+                await _stop_entry(cluster, entry, fault.seconds, entry.source)
         case faults.ReplaceEntries():
             for is_earlier in fault.rounds:
                 source = cluster.earlier_source if is_earlier else None
@@ -163,7 +171,7 @@
     entry.down = True
     begin = time.time()
     await signalling.send(entry.popen, signal.SIGTERM)
-    limit = cluster_lib.GRACE_SECONDS + _STOP_MARGIN_SECONDS
+    limit = late_requests.GRACE_SECONDS + _STOP_MARGIN_SECONDS
     deadline = time.time() + limit
     while entry.popen.poll() is None and time.time() < deadline:
         await curio.sleep(0.02)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from soak import history as history_lib
+from soak import late_requests
 from soak import loop_delays
 from soak import pipelining
 from soak import quotas
@@ -114,6 +115,7 @@
         _broken_promises_of_keys,
         quotas.find_violations,
         _broken_lines,
+        _broken_off_in_stops,
     )
     violations = [line for check in checks for line in check(history)]
     return [*violations, *history.exit_errors]
@@ -726,6 +728,23 @@
     return pipelining.find_violations(history, is_excused)
 
 
+def _broken_off_in_stops(history: history_lib.History) -> list[str]:
+    """Find late requests that a planned stop broke off.
+
+    Any other fault of the entry, or of the target, is an excuse.
+    """
+
+    def is_excused(call: history_lib.Call, target: int) -> bool:
+        begin = call.sent_at - SETTLING_SECONDS
+        end = (call.ended_at or call.sent_at) + RECORDING_DELAY_SECONDS
+        own = ("entry", "link", "cut")
+        return _is_fault_active(
+            history, begin, end, kinds=("target",), index=target
+        ) or _is_fault_active(history, begin, end, kinds=own, index=call.entry)
+
+    return late_requests.find_violations(history, is_excused)
+
+
 def _missing_retry_after(history: history_lib.History) -> list[str]:
     """Find responses with status 503 and no `Retry-After` header."""
     return [
--- a/src/agateshelf_standins/member.py
+++ b/src/agateshelf_standins/member.py
@@ -207,8 +207,11 @@
         mark = self.options.crash_mark
         if mark and mark in request.path:
             os._exit(1)
-        seconds = self.options.service_ms * self.options.slow_factor / 1000
-        await curio.sleep(seconds)
+        service_ms = self.options.service_ms
+        long_mark = self.options.long_mark
+        if long_mark and long_mark in request.path:
+            service_ms = self.options.long_ms
+        await curio.sleep(service_ms * self.options.slow_factor / 1000)
 
     def _pause_response(self, request: http.Request) -> http.Response:
         pause = self.options.pause
@@ -272,6 +275,8 @@
 @click.option("--service-ms", type=float, default=20.0)
 @click.option("--drain-ms", type=float, default=2000.0)
 @click.option("--crash-mark", default="", help="Part of a path that crashes.")
+@click.option("--long-mark", default="", help="Part of a path that runs long.")
+@click.option("--long-ms", type=float, default=0.0)
 def main(
     port: int,
     name: str,
@@ -284,6 +289,8 @@
     service_ms: float,
     drain_ms: float,
     crash_mark: str,
+    long_mark: str,
+    long_ms: float,
 ) -> None:
     """Run a stand-in for a target that registers itself."""
     ledger.touch()
@@ -293,6 +300,8 @@
         service_ms=service_ms,
         drain_ms=drain_ms,
         crash_mark=crash_mark,
+        long_mark=long_mark,
+        long_ms=long_ms,
     )
     curio.run(Member(config, options).run, port)
 
--- a/src/agateshelf_standins/target.py
+++ b/src/agateshelf_standins/target.py
@@ -52,6 +52,9 @@
         cold_until: Unix time until which a member is cold, which it says in
             answers to health checks and in its registration.
         registers: Whether a member writes its registration.
+        long_mark: Part of the path of a request that a member runs for
+            `long_ms`; empty for none.
+        long_ms: Service time of such a request in milliseconds.
         refusal_mark: Header, as `Name: value`, of the response to a request
             that did not run; empty for none.
     """
@@ -73,6 +76,8 @@
     pause: str = ""
     cold_until: float = 0
     registers: bool = True
+    long_mark: str = ""
+    long_ms: float = 0
     refusal_mark: str = ""
 
 
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -345,3 +345,48 @@
     history.loop_delays = list(delays)
     found = invariants.find_violations(history)
     assert any("got no response" in one for one in found) is is_late
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "status", "is_violation"),
+    [
+        (101.9, 502, False),
+        (102.1, 502, True),
+        (102.1, None, True),
+        (102.1, 200, False),
+        (105.0, 502, False),
+    ],
+)
+def test_late_requests_that_a_stop_broke_off_are_found(
+    sent_at, status, is_violation
+):
+    call = create_call(
+        "a", sent_at=sent_at, ended_at=sent_at + 0.9, status=status
+    )
+    stop = history_lib.FaultWindow("stop", 0, 100.0, 106.0)
+    history = create_history(
+        call, ledger=[ledger_line("a", sent_at)], fault_windows=[stop]
+    )
+    found = invariants.find_violations(history)
+    assert any("broken off" in line for line in found) == is_violation
+
+
+def test_only_faults_of_the_entry_or_target_excuse_a_request_broken_off():
+    call = create_call(
+        "a", sent_at=102.1, ended_at=103.5, status=502, timeout=3
+    )
+    for kind, index, is_excused in (
+        ("target", 0, True),
+        ("target", 1, False),
+        ("entry", 0, True),
+        ("entry", 1, False),
+    ):
+        windows = [
+            history_lib.FaultWindow("stop", 0, 100.0, 106.0),
+            history_lib.FaultWindow(kind, index, 103.0, 104.0),
+        ]
+        history = create_history(
+            call, ledger=[ledger_line("a", 102.1)], fault_windows=windows
+        )
+        found = invariants.find_violations(history)
+        assert any("broken off" in line for line in found) != is_excused
