Tell a caller whose body a stop cuts short that its request did not run

A request whose body was on its way behind an answer, when the entry stopped reading, got 400: the caller was told that the request is malformed and must not be sent again.

The entry had ended reading itself. It now answers 503 as not run, with the time to come back. test_body_that_is_not_read_to_its_end_is_refused_as_not_run got 400 before.

--- a/src/agateshelf/daemon/callers/reading.py
+++ b/src/agateshelf/daemon/callers/reading.py
@@ -7,6 +7,7 @@
 import curio
 import h11
 
+from agateshelf.core.outcomes import const as outcome_const
 from agateshelf.daemon import fairness
 from agateshelf.daemon import messages
 from agateshelf.daemon.callers import checks
@@ -309,6 +310,8 @@
     if not conn.buffer and not await conn.read_more():
         if conn.timed_out:
             raise _request_timeout()
+        if conn.read_shut:
+            raise _stopping()
         raise checks.malformed(
             "The connection closed before the body was complete."
         )
@@ -340,6 +343,15 @@
     )
 
 
+def _stopping() -> BadRequestError:
+    return BadRequestError(
+        const.STATUS_UNAVAILABLE,
+        outcome_const.REASON_STOPPING,
+        "This entry is stopping and reads no further.",
+        const.RETRY_AFTER_SECONDS,
+    )
+
+
 def _request_timeout() -> BadRequestError:
     return BadRequestError(
         const.STATUS_REQUEST_TIMEOUT,
--- a/tests/daemon/test_late_requests.py
+++ b/tests/daemon/test_late_requests.py
@@ -195,3 +195,26 @@
     # all the same.
     status, _, runs = send_late(Late(3.05), signal_lag=signal_lag)
     assert (status, runs) == (503, 0)
+
+
+def test_body_that_is_not_read_to_its_end_is_refused_as_not_run(virtual_run):
+    # It is on its way behind an answer when the entry stops reading. The caller
+    # was told that its request is malformed.
+    async def work(_request, _sock):
+        await curio.sleep(3.2)
+        return conftest.http_response(extra=test_routes.VALID)
+
+    async def body():
+        rig = await test_routes.create_entry([work], create_table())
+        caller = await rig.caller()
+        await caller.send(Late(0.0).head() + b"hi" + Late(0.0).head() + b"h")
+        await curio.sleep(0.05)
+        stopped = await stop(rig)
+        first, second = await caller.read_responses(2)
+        await stopped.join()
+        return first, second, len(rig.target[0].requests)
+
+    first, second, runs = virtual_run(body)
+    assert (first.status, second.status, runs) == (200, 503, 1)
+    assert b"agateshelf-outcome: not-run" in second.head.lower()
+    assert b"retry-after" in second.head.lower()
