Answer entries that are not known as members yet

Cause: an entry sends on sockets of its own, to addresses that membership tells. What it was asked by an entry that it had not heard of, it could not answer. That ended state syncs as well, by which entries learn of each other: the asking entry got no page and doubled its interval up to 16 s. Tests missed it, as their fleets deliver messages to anybody.

The envelope now says where its sender receives, unless that is its identifier; an entry of an earlier build ignores it. Only IP addresses are taken, and those of 1,024 senders at most.

test_an_entry_that_is_not_known_gets_an_answer got no answer within 5 s before. test_message_is_encoded_and_decoded_under_its_wire_name reads the whole rest of the envelope, which has one more element.

--- a/src/agateshelf/daemon/peers/codec.py
+++ b/src/agateshelf/daemon/peers/codec.py
@@ -64,6 +64,7 @@
     sequence: int
     type: str
     payload: msgspec.Raw
+    address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,12 +76,15 @@
         epoch: Number of the sender's process; grows with each restart.
         sequence: Number of the message within that process; grows.
         message: The decoded payload.
+        address: `HOST:PORT` at which the sender receives; empty if that is its
+            identifier, or from an earlier build.
     """
 
     sender: str
     epoch: int
     sequence: int
     message: models.PeerMessage
+    address: str = ""
 
 
 def _wire_name(kind: type[models.PeerMessage]) -> str:
@@ -118,8 +122,19 @@
     sequence: int,
     kind: type[models.PeerMessage],
     payload: bytes,
+    address: str = "",
 ) -> bytes:
-    """Encode the envelope of an encoded message."""
+    """Encode the envelope of an encoded message.
+
+    Args:
+        sender: Identifier of this entry.
+        epoch: Number of this process.
+        sequence: Number of the message.
+        kind: Type of the message.
+        payload: The encoded message.
+        address: Address at which this entry receives; empty if that is its
+            identifier.
+    """
     envelope = _Envelope(
         const.PROTOCOL_VERSION,
         sender,
@@ -127,6 +142,7 @@
         sequence,
         _wire_name(kind),
         msgspec.Raw(payload),
+        address,
     )
     return _encoder.encode(envelope)
 
@@ -148,4 +164,10 @@
         message = decoder.decode(envelope.payload)
     except decoding.ERRORS as exc:
         raise MessageError(str(exc)) from None
-    return Received(envelope.sender, envelope.epoch, envelope.sequence, message)
+    return Received(
+        envelope.sender,
+        envelope.epoch,
+        envelope.sequence,
+        message,
+        envelope.address,
+    )
--- a/src/agateshelf/daemon/peers/const.py
+++ b/src/agateshelf/daemon/peers/const.py
@@ -19,6 +19,8 @@
 MAX_CONNECTIONS: Final = 256
 MAX_SENDERS: Final = 8192
 MAX_ADDRESSES: Final = 8192
+# Entries that are not known as members yet and may want an answer.
+MAX_SENDER_ADDRESSES: Final = 1024
 RECEIVE_BATCH_MESSAGES: Final = 64
 RECONNECT_MILLISECONDS: Final = 100
 # An entry that restarts or was cut off must soon get what it missed.
--- a/src/agateshelf/daemon/peers/transport.py
+++ b/src/agateshelf/daemon/peers/transport.py
@@ -4,12 +4,17 @@
 is best effort: a message is dropped rather than queued without bound, so
 senders must not rely on it. Only holders of the system's key pair can connect
 (CURVE).
+
+Messages say where their sender receives. Of entries that start together, each
+is asked by some that it has not heard of: an answer must not wait until
+membership has brought their addresses.
 """
 
 import collections
 from collections import abc
 import contextlib
 import dataclasses
+import socket
 
 import curio
 import logbook
@@ -31,6 +36,8 @@
 
 Socket = zmq.Socket[bytes]
 
+_PORTS = 1 << 16
+
 
 @dataclasses.dataclass(slots=True)
 class Transport:
@@ -45,6 +52,10 @@
         authenticator: Authenticates peers; None if no keys are configured.
         inbound: The bound socket, which only receives.
         addresses: `HOST:PORT` of each known entry.
+        sender_addresses: The same of entries that have sent a message and are
+            not among the known ones, the latest last.
+        own_address: `HOST:PORT` at which this entry receives; empty if that is
+            its identifier.
         outbound: Open sockets by entry, least recently used first.
         replays: Filter for replayed messages, which are dropped only if keys
             are configured.
@@ -60,6 +71,10 @@
     authenticator: authentication.Authenticator | None
     inbound: Socket
     addresses: dict[str, str] = dataclasses.field(default_factory=dict)
+    sender_addresses: collections.OrderedDict[str, str] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    own_address: str = ""
     outbound: collections.OrderedDict[str, Socket] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -80,9 +95,21 @@
             return
         if len(self.addresses) >= const.MAX_ADDRESSES:
             return
-        self._close(peer)
+        if self.sender_addresses.pop(peer, None) != address:
+            self._close(peer)
         self.addresses[peer] = address
 
+    def _note_sender(self, received: codec.Received) -> None:
+        """Note where an entry receives that is not known as a member."""
+        address = received.address or received.sender
+        if received.sender in self.addresses or not _is_endpoint(address):
+            return
+        if self.sender_addresses.pop(received.sender, address) != address:
+            self._close(received.sender)
+        self.sender_addresses[received.sender] = address
+        if len(self.sender_addresses) > const.MAX_SENDER_ADDRESSES:
+            self.sender_addresses.popitem(last=False)
+
     def disconnect_peer(self, peer: str) -> None:
         """Close the connection to an entry that is gone.
 
@@ -124,7 +151,12 @@
     ) -> bytes:
         self.sequence += 1
         return codec.add_envelope(
-            self.entry, self.epoch, self.sequence, kind, payload
+            self.entry,
+            self.epoch,
+            self.sequence,
+            kind,
+            payload,
+            self.own_address,
         )
 
     def _send_data(self, peer: str, data: bytes) -> bool:
@@ -146,7 +178,7 @@
         if sock is not None:
             self.outbound.move_to_end(peer)
             return sock
-        address = self.addresses.get(peer)
+        address = self.addresses.get(peer) or self.sender_addresses.get(peer)
         if address is None:
             return None
         sock = _create_outbound(self.context, self.cfg, address)
@@ -200,6 +232,7 @@
         if not is_new and self.authenticator is not None:
             self.count(const.COUNT_REPLAYED, 1)
             return None
+        self._note_sender(received)
         message: models.PeerMessage | None = received.message
         if isinstance(message, messages.MessagePart):
             message = self._join(received, message)
@@ -260,10 +293,26 @@
     transport = Transport(
         entry, epoch, cfg, count, context, authenticator, inbound
     )
+    own_address = cfg.advertised or transport.address
+    transport.own_address = "" if own_address == entry else own_address
     _log.info("Entry {} listens for peers on {}.", entry, transport.address)
     return transport
 
 
+def _is_endpoint(address: str) -> bool:
+    """Return whether an address is `HOST:PORT` with an IP address as the host.
+
+    A name would be resolved by whoever connects to it.
+    """
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+    try:
+        socket.inet_pton(family, host.strip("[]"))
+    except OSError:
+        return False
+    return port.isdecimal() and 0 < int(port) < _PORTS
+
+
 def _create_outbound(
     context: "zmq.Context[Socket]", cfg: settings.Peers, address: str
 ) -> Socket | None:
--- a/tests/daemon/peers/test_codec.py
+++ b/tests/daemon/peers/test_codec.py
@@ -80,7 +80,7 @@
     codec.add_types((Renamed,))
     message = Renamed(1, 2, MEMBER, (MEMBER,))
     data = codec.encode("e0", 4, 5, message)
-    kind, payload = msgspec.msgpack.decode(data)[4:]
+    kind, payload, _ = msgspec.msgpack.decode(data)[4:]
     assert kind == "Original"
     assert "wire_name" not in payload
     assert codec.decode(data) == codec.Received("e0", 4, 5, message)
--- a/tests/daemon/peers/test_transport.py
+++ b/tests/daemon/peers/test_transport.py
@@ -27,8 +27,8 @@
         public, secret = keys
         cfg = settings.Peers(
             listen=settings.Listen(port=0),
-            public_key=public.decode(),
-            secret_key=secret.decode(),
+            public_key=public and public.decode(),
+            secret_key=secret and secret.decode(),
         )
         self.counts = collections.Counter()
         self.received = curio.Queue()
@@ -203,3 +203,68 @@
         assert len(a.transport.outbound) == 3
 
     run_with([Peer("a", SYSTEM_KEYS)], scenario)
+
+
+@pytest.mark.parametrize("is_named", [False, True], ids=["address", "name"])
+def test_an_entry_that_is_not_known_gets_an_answer(is_named):
+    # Entries that started together didn't answer those that they had not heard
+    # of: state syncs ended there, and requests for a target went unanswered.
+    keys = (None, None)
+
+    async def scenario(a, b):
+        a.transport.add_peer(b.transport.entry, b.transport.address)
+        a.transport.send([b.transport.entry], announce(1))
+        event = await b.next()
+        assert event.peer not in b.transport.addresses
+        b.transport.send([event.peer], announce(2))
+        answer = await a.next()
+        assert answer.peer == b.transport.entry
+        assert answer.message.version == 2
+
+    a, b = Peer("a", keys), Peer("b", keys)
+    if not is_named:
+        for peer in (a, b):
+            peer.transport.entry = peer.transport.address
+            peer.transport.own_address = ""
+    run_with([a, b], scenario)
+
+
+def test_the_address_that_membership_tells_goes_before_that_of_a_message():
+    async def scenario(a, b, c):
+        a.transport.add_peer("b", b.transport.address)
+        a.transport.send(["b"], announce(1))
+        assert (await b.next()).peer == "a"
+        b.transport.add_peer("a", c.transport.address)
+        b.transport.send(["a"], announce(2))
+        assert (await c.next()).message.version == 2
+        assert not b.transport.sender_addresses
+
+    run_with([Peer(name, SYSTEM_KEYS) for name in "abc"], scenario)
+
+
+@pytest.mark.parametrize(
+    "address", ["host.example:80", "entry-0", "10.0.0.1:0", "10.0.0.1:70000"]
+)
+def test_only_ip_addresses_are_taken_from_messages(address):
+    async def scenario(a, b):
+        a.transport.own_address = address
+        a.transport.add_peer("b", b.transport.address)
+        a.transport.send(["b"], announce(1))
+        assert (await b.next()).peer == "a"
+        assert not b.transport.sender_addresses
+
+    run_with([Peer(name, SYSTEM_KEYS) for name in "ab"], scenario)
+
+
+def test_the_number_of_senders_that_are_not_known_is_bounded(monkeypatch):
+    monkeypatch.setattr(const, "MAX_SENDER_ADDRESSES", 2)
+
+    async def scenario(*peers):
+        *senders, receiver = peers
+        for sender in senders:
+            sender.transport.add_peer("r", receiver.transport.address)
+            sender.transport.send(["r"], announce(1))
+            await receiver.next()
+        assert list(receiver.transport.sender_addresses) == ["b", "c"]
+
+    run_with([Peer(name, SYSTEM_KEYS) for name in "abcr"], scenario)
