--- a/soak/late_requests.py
+++ b/soak/late_requests.py
@@ -69,7 +69,7 @@
     until their timeout.
     """
     run_by = {
-        line["id"]: int(line["by"].removeprefix("t"))
+        line["id"]: _number_of(line["by"])
         for line in history.ledger
         if line["kind"] == "run"
     }
@@ -87,6 +87,11 @@
     return violations
 
 
+def _number_of(target: str) -> int:
+    """Return the number in the name of a target or of its replacement."""
+    return int("".join(filter(str.isdigit, target)))
+
+
 def _is_broken_off(call: history_lib.Call) -> bool:
     if call.status == 200 or call.disconnected or call.ended_at is None:
         return False
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -390,3 +390,16 @@
         )
         found = invariants.find_violations(history)
         assert any("broken off" in line for line in found) != is_excused
+
+
+@pytest.mark.parametrize("target", ["t0", "t0x", "t0n", "t0nx"])
+def test_late_requests_at_targets_that_were_replaced_are_found(target):
+    call = create_call("a", sent_at=102.1, ended_at=103.0, status=502)
+    stop = history_lib.FaultWindow("stop", 0, 100.0, 106.0)
+    history = create_history(
+        call,
+        ledger=[ledger_line("a", 102.1, by=target)],
+        fault_windows=[stop],
+    )
+    found = invariants.find_violations(history)
+    assert any("broken off" in line for line in found)
