Take no address from a message that can't be one, whatever its bytes

An address with a NUL or beyond ASCII raised a ValueError where the transport looks whether it is an IP address, which ended the receiving of that batch. Found in reading the diff; both new cases of test_only_ip_addresses_are_taken_from_messages failed before.

--- a/src/agateshelf/daemon/peers/transport.py
+++ b/src/agateshelf/daemon/peers/transport.py
@@ -308,7 +308,7 @@
     family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
     try:
         socket.inet_pton(family, host.strip("[]"))
-    except OSError:
+    except (OSError, ValueError):
         return False
     return port.isdecimal() and 0 < int(port) < _PORTS
 
--- a/tests/daemon/peers/test_transport.py
+++ b/tests/daemon/peers/test_transport.py
@@ -243,7 +243,15 @@
 
 
 @pytest.mark.parametrize(
-    "address", ["host.example:80", "entry-0", "10.0.0.1:0", "10.0.0.1:70000"]
+    "address",
+    [
+        "host.example:80",
+        "entry-0",
+        "10.0.0.1:0",
+        "10.0.0.1:70000",
+        "10.0.0.1\0:80",
+        "10.0.0.\u00b9:80",
+    ],
 )
 def test_only_ip_addresses_are_taken_from_messages(address):
     async def scenario(a, b):
