Log each attempt that an entry ends itself, and answers that are cut

The log of an entry couldn't tell why a request that its target was at work on got no whole answer: at the end of a stop, at a timeout, for a target given up, or as the answer wasn't written to its end.

attempt.ended names the request, the target, the cause, how long the target had it, and what was left of the request's time and of the stop. The causes are one list, of which three may end a request that runs at most once. answer.cut names a request whose decided answer was not written to its end, and the stop warns if it exits with requests in flight.

--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -105,7 +105,7 @@
     for number in call.attempts:
         sends.forget(state, number)
     return [
-        *finishing.cancel_attempts(state, now, call),
+        *finishing.cancel_attempts(state, now, call, models.EndCause.ANSWERED),
         effects.DeliverAnswer(call.number, attempt),
         *finishing.end_call(state, call),
     ]
@@ -396,7 +396,7 @@
     if not is_allowed:
         return []
     return [
-        *finishing.cancel_attempts(state, now, call),
+        *finishing.cancel_attempts(state, now, call, models.EndCause.MOVED),
         *requester.request_dispatch(state, now, call),
     ]
 
--- a/src/agateshelf/core/forwarding/finishing.py
+++ b/src/agateshelf/core/forwarding/finishing.py
@@ -54,6 +54,7 @@
     call: models.Call,
     refusal: outcome_models.Refusal,
     log_details: tuple[tuple[str, float], ...] = (),
+    cause: models.EndCause = models.EndCause.REFUSED,
 ) -> Effects:
     """Refuse the call at once and cancel its attempts in flight.
 
@@ -63,9 +64,10 @@
         call: The call.
         refusal: The refusal that the caller gets.
         log_details: Inputs of the decision, for the log.
+        cause: Why its attempts end.
     """
     return [
-        *cancel_attempts(state, now, call),
+        *cancel_attempts(state, now, call, cause),
         effects.Refuse(call.number, refusal),
         refusal_event(
             call.request_id,
@@ -80,11 +82,15 @@
 
 
 def cancel_attempts(
-    state: core_state.State, now: float, call: models.Call
+    state: core_state.State,
+    now: float,
+    call: models.Call,
+    cause: models.EndCause,
 ) -> Effects:
     """Cancel the call's attempts; each may have run the request."""
     emitted: Effects = []
     for number in sorted(call.attempts):
+        emitted.append(_ended_event(state, now, call, number, cause))
         ended = end_attempt(state, now, number, dispatch_models.Ending.NEUTRAL)
         call.verdict = max(call.verdict, outcome_models.Verdict.MAY_HAVE_RUN)
         emitted.append(effects.CancelAttempt(number))
@@ -94,6 +100,30 @@
     return emitted
 
 
+def _ended_event(
+    state: core_state.State,
+    now: float,
+    call: models.Call,
+    number: int,
+    cause: models.EndCause,
+) -> effects.LogEvent:
+    """Return the log event of an attempt that this entry ends."""
+    attempt = state.forwarding.attempts[number]
+    details: list[tuple[str, str | float]] = [
+        ("attempt", number),
+        ("target", attempt.target),
+        ("cause", cause.value),
+        ("seconds", round(now - attempt.started, 4)),
+        ("idempotent", call.route.idempotent),
+        ("timeout_ms", to_milliseconds(call.deadline - call.arrived)),
+        ("left_ms", to_milliseconds(call.deadline - now)),
+    ]
+    if state.stopping:
+        left = state.stop.ends_at - now
+        details.append(("stop_left_ms", to_milliseconds(left)))
+    return effects.LogEvent("attempt.ended", call.request_id, tuple(details))
+
+
 def release_grant(
     state: core_state.State,
     event: events.DispatchDecided,
@@ -137,14 +167,18 @@
         return []
     if call.attempts & state.forwarding.streaming:
         return []
-    return give_up(state, now, call, refusals.deadline_passed(call))
+    refusal = refusals.deadline_passed(call)
+    return give_up(state, now, call, refusal, cause=models.EndCause.DEADLINE)
 
 
 def on_stop_deadline(state: core_state.State, now: float) -> Effects:
     """Refuse all remaining calls: the process is about to exit."""
     emitted: Effects = []
     for call in list(state.forwarding.calls.values()):
-        emitted.extend(give_up(state, now, call, refusals.stopping(call)))
+        refusal = refusals.stopping(call)
+        emitted.extend(
+            give_up(state, now, call, refusal, cause=models.EndCause.STOP)
+        )
     return emitted
 
 
@@ -156,7 +190,7 @@
     if call is None:
         return []
     return [
-        *cancel_attempts(state, now, call),
+        *cancel_attempts(state, now, call, models.EndCause.CALLER_LEFT),
         effects.LogEvent(
             "call.left",
             call.request_id,
--- a/src/agateshelf/core/forwarding/models.py
+++ b/src/agateshelf/core/forwarding/models.py
@@ -1,6 +1,7 @@
 """State of routed calls and of their attempts."""
 
 import dataclasses
+import enum
 import math
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,21 @@
     from agateshelf.core import events
 
 
+class EndCause(enum.Enum):
+    """Why this entry ends an attempt whose target may be at work on it.
+
+    Only the first three end a request that may run at most once: nothing else
+    is a reason to end it sooner, whatever the target's silence suggests.
+    """
+
+    DEADLINE = "deadline"
+    STOP = "stop"
+    CALLER_LEFT = "caller-left"
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    MOVED = "moved"
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """One attempt in flight.
--- a/src/agateshelf/daemon/callers/server.py
+++ b/src/agateshelf/daemon/callers/server.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from agateshelf import const as agateshelf_const
+from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.routes import models as route_models
@@ -242,11 +243,33 @@
             conn.call = None
             conn.enter(reading.Phase.WRITING)
             return await self._write(conn, request, begun.exchange.response)
+        except _CONNECTION_ERRORS as exc:
+            self._log_cut(begun, exc)
+            raise
         finally:
             conn.call = None
             conn.request = None
             await calls.end(self.driver, begun)
 
+    def _log_cut(self, begun: calls.BegunCall, exc: Exception) -> None:
+        """Log that a decided response didn't reach its caller as a whole."""
+        exchange = begun.exchange
+        if exchange.response is None:
+            return
+        dialect = self.driver.targets.dialect
+        name = messages.header(exchange.request.headers, dialect.request_id)
+        seconds = clock.now() - begun.started_at
+        details = (
+            ("status", exchange.response.status),
+            ("error", type(exc).__name__),
+            ("after_ms", round(1000 * seconds, 1)),
+        )
+        self.driver.log_event(
+            effects.LogEvent(
+                "answer.cut", (name or b"").decode("latin-1"), details
+            )
+        )
+
     async def _await_response(
         self, conn: reading.CallerConnection, begun: calls.BegunCall
     ) -> None:
--- a/src/agateshelf/daemon/stopping.py
+++ b/src/agateshelf/daemon/stopping.py
@@ -92,8 +92,13 @@
     driver: daemon_driver.Driver, limits: settings.Limits
 ) -> None:
     await driver.post(events.StopDeadlinePassed())
-    async with curio.ignore_after(limits.last_words_seconds):
+    async with curio.ignore_after(limits.last_words_seconds) as last_words:
         await driver.exchanges.in_flight.wait()
+    if last_words.expired:
+        _log.warning(
+            "Stopping with {} connections and exchanges in flight.",
+            driver.exchanges.in_flight.count,
+        )
 
 
 async def _drain(driver: daemon_driver.Driver) -> None:
