Count no deadline from before a request can have arrived

Callers of a silent target were told 504 up to 3 ms before the 2 s of their route had passed (3 of 56 requests of 4 kB on fresh connections to an idle entry, real processes, and 2 of 260 by up to 8 ms with a large table of routes in a stop). Around a planned stop that counts as an answer of our own in place of the target's (LOST).

Cause: a request's time was counted from the earliest moment at which it can have arrived, the loop's last poll and the time that the loop was busy before it. That is an upper bound of its wait. A caller may have sent it just before it was read, and then lost as much of its time as the loop had been busy.

Deadlines now count from when the request is read, as far as that gives its target no more than half a second beyond what the caller has left. Refusals on arrival, soft deadlines and logs go on with the bound. Of test_what_a_request_may_have_waited_ends_it_no_sooner, the cases with 0.05 and 0.3 s failed before (1.95 and 1.70 s of 2 s).

--- a/src/agateshelf/core/forwarding/arrivals.py
+++ b/src/agateshelf/core/forwarding/arrivals.py
@@ -171,6 +171,8 @@
 ) -> models.Call:
     timeout = event.timeout or route.timeout
     arrived = now - event.waited
+    # It may as well have come at the end of that time.
+    counted = max(0.0, event.waited - const.MAX_UNCERTAIN_SECONDS)
     return models.Call(
         number=event.call,
         request_id=event.request_id,
@@ -180,7 +182,7 @@
         caller=event.caller,
         arrived=arrived,
         soft_deadline=arrived + _soft_timeout(state.routes, route, timeout),
-        deadline=arrived + min(timeout, route.timeout),
+        deadline=now - counted + min(timeout, route.timeout),
         key_digest=event.key_digest,
     )
 
--- a/src/agateshelf/core/forwarding/const.py
+++ b/src/agateshelf/core/forwarding/const.py
@@ -15,6 +15,9 @@
 # The same if the targets were cold: while others are warm, an owner that knows
 # of no warm-ups grants one of these sooner or later.
 MAX_DECLINED_COLD_GRANTS: Final = 6
+# Of the time that a request may have waited unread, what its deadline doesn't
+# count: targets may be given half a second more than the caller has left.
+MAX_UNCERTAIN_SECONDS: Final = 0.4
 NOT_READY_RETRY_AFTER_SECONDS: Final = 0.5
 RETRY_AFTER_SECONDS: Final = 0.5
 
--- a/tests/core/forwarding/test_ended_attempts.py
+++ b/tests/core/forwarding/test_ended_attempts.py
@@ -221,3 +221,23 @@
         }
         assert fleet.cancelled
         assert fleet.cancelled == logged
+
+
+@pytest.mark.parametrize("waited", [0.0, 0.05, 0.3])
+def test_what_a_request_may_have_waited_ends_it_no_sooner(fleet, waited):
+    # It may as well have come at the end of that time.
+    name = next(iter(fleet.nodes))
+    began = fleet.now
+    book_waited = {"path": "/book/1", "method": "POST", "waited": waited}
+    fleet.request(name, timeout=4.0, **book_waited)
+    fleet.run_for(3.0)
+    (end,) = ended(fleet)
+    assert end["at"] - began == pytest.approx(2.0, abs=0.001)
+
+
+def test_targets_get_at_most_half_a_second_more_than_is_left(fleet):
+    name = next(iter(fleet.nodes))
+    fleet.request(name, timeout=2.0, waited=1.2)
+    fleet.run_for(0.05)
+    (sent,) = [send for sends in fleet.sends.values() for send in sends]
+    assert sent[2].timeout <= 2.0 - 1.2 + 0.5
