Refuse relayed requests that the relay's stop may break off

An entry that is cut off from a target relays a request through another one. If that stops, its end breaks the request off with 502 at the entry that has the call, which doesn't stop and whose caller may have seconds left.

The rule for late requests refused relayed ones from half of the stop on, as it refuses those of callers. But the entry that has the call can choose another relay at once while nothing was sent. A stopping entry now refuses any relayed request as not run, from the signal on, unless its deadline passes before the end of the stop.

test_relayed_request_that_a_stop_may_break_off_is_refused got 502 for a target that works 7 s before, at 0.1, 1 and 2 s of the stop. Not seen in the record or on real processes: found by going through what else ends an answer.

--- a/src/agateshelf/core/forwarding/arrivals.py
+++ b/src/agateshelf/core/forwarding/arrivals.py
@@ -108,7 +108,7 @@
     if isinstance(target, outcome_models.Refusal):
         return _refuse_early(state, event, target)
     call = _create_call(state, now, event, route, fingerprint)
-    if stop_admission.is_too_late(state, now, call.deadline):
+    if stop_admission.refuses_relayed(state, call.deadline):
         return _refuse_early(state, event, refusals.stopping(call))
     workspace_checks.apply(state, call, identity)
     call.service = target.service
--- a/src/agateshelf/core/stopping/admission.py
+++ b/src/agateshelf/core/stopping/admission.py
@@ -47,6 +47,15 @@
     return now >= state.stop.late_from and may_outlast(state, deadline)
 
 
+def refuses_relayed(state: core_state.State, deadline: float) -> bool:
+    """Return whether a relayed request must go by another entry.
+
+    The end of this entry's stop would break it off at one that doesn't stop,
+    and which can choose another relay while nothing was sent.
+    """
+    return state.stopping and may_outlast(state, deadline)
+
+
 def answer_by(state: core_state.State, deadline: float) -> float:
     """Return the time by which a target has to answer a request."""
     return min(deadline, state.stop.ends_at)
--- a/tests/daemon/test_late_requests.py
+++ b/tests/daemon/test_late_requests.py
@@ -183,6 +183,24 @@
     assert (status, runs) == (503, 1)
 
 
+@pytest.mark.parametrize("sent_at", [0.1, 1.0, 2.0])
+def test_relayed_request_that_a_stop_may_break_off_is_refused(
+    send_late, sent_at
+):
+    # The entry that relays it has all the time, and knows other relays.
+    late = Late(sent_at, is_relayed=True)
+    status, seconds, runs = send_late(late, work_seconds=7.0)
+    assert (status, runs) == (503, 0)
+    assert seconds < 0.1
+
+
+@pytest.mark.parametrize("sent_at", [0.1, 1.0, 2.0])
+def test_short_relayed_request_is_served_in_a_stop(send_late, sent_at):
+    late = Late(sent_at, is_relayed=True, timeout=3.0)
+    status, _, runs = send_late(late)
+    assert (status, runs) == (200, 1)
+
+
 @pytest.mark.parametrize("sent_at", [0.1, 1.0, 2.0])
 def test_early_request_is_served(send_late, sent_at):
     status, _, runs = send_late(Late(sent_at))
