Go on with a stop when SIGTERM comes again

Before 3 s, the listener was closed at once as well, while the balancer still sent callers there.

Cause: a second stop signal counted as an operator's wish to end at once. On the platform SIGTERM is how planned work stops a machine, which may come twice when such work overlaps, and the platform ends the grace period by SIGKILL.

With routes, SIGTERM that comes again is now logged and changes nothing; the times go on from the first one. SIGINT still ends a stop, and entries that serve configured services, which nobody kills, end at a second signal of either kind as before.

Of test_signals_in_a_stop_break_off_no_request, nine cases fail on the code before (502 for 200): those in which SIGTERM comes while the request runs.

--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -348,6 +348,7 @@
             stop_signals,
             _stop_limits(cfg),
             relay_server,
+            _ending_signals(cfg),
         )
         _log.info("Entry {} stopped.", cfg.entry)
 
@@ -410,6 +411,17 @@
     )
 
 
+def _ending_signals(cfg: settings.Settings) -> frozenset[signal.Signals]:
+    """Return the signals that end the draining of an entry that stops.
+
+    The platform may send SIGTERM more than once, and ends a stop itself: it
+    kills the process after the grace period.
+    """
+    if cfg.routes is None:
+        return stopping.STOP_SIGNALS
+    return stopping.STOP_SIGNALS - {signal.SIGTERM}
+
+
 async def _await_stop(
     stop_signals: signals.Signals, reloader: reloading.Reloader
 ) -> None:
--- a/src/agateshelf/daemon/stopping.py
+++ b/src/agateshelf/daemon/stopping.py
@@ -8,6 +8,9 @@
 it kills the process after a fixed time.
 """
 
+from collections import abc
+import signal
+
 import curio
 import logbook
 
@@ -19,6 +22,8 @@
 from agateshelf.daemon.callers import server
 from agateshelf.documents import settings
 
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+
 _log = logbook.Logger("stop")
 
 
@@ -29,6 +34,7 @@
     stop_signals: signals.Signals,
     limits: settings.Limits,
     relay_server: server.CallerServer | None = None,
+    ended_by: abc.Set[signal.Signals] = STOP_SIGNALS,
 ) -> None:
     """Drain the calls; refuse the remaining ones at a signal or deadline.
 
@@ -36,17 +42,18 @@
         driver: The driver.
         caller_server: The server whose connections are closed.
         listener: The listener for callers, which is closed.
-        stop_signals: Signals; a second stop signal ends the draining.
+        stop_signals: Signals received during the stop.
         limits: Maximum durations of the steps of the stop.
         relay_server: The server for other entries, whose connections are closed
             as well.
+        ended_by: Signals that end the draining, as a second stop signal.
     """
     elapsed = stop_signals.seconds_since_stop()
     seconds = limits.unready_seconds + limits.stop_seconds
     requested_at = clock.now() - elapsed
     await driver.post(events.StopRequested(seconds, elapsed))
     unready_until = requested_at + limits.unready_seconds
-    if await _signalled_before(stop_signals, unready_until):
+    if await _signalled_before(stop_signals, unready_until, ended_by):
         _log.warning("Second stop signal received before the listener closed.")
         await listener.close()
         await _refuse_remaining(driver, limits)
@@ -59,7 +66,7 @@
     async with curio.ignore_after(max(0.0, left)) as deadline:
         async with curio.TaskGroup(wait=any) as group:
             drained = await group.spawn(_drain, driver)
-            await group.spawn(stop_signals.next_stop)
+            await group.spawn(_await_end, stop_signals, ended_by)
         if group.completed is drained:
             return
     reason = (
@@ -73,7 +80,11 @@
     await _refuse_remaining(driver, limits)
 
 
-async def _signalled_before(stop_signals: signals.Signals, end: float) -> bool:
+async def _signalled_before(
+    stop_signals: signals.Signals,
+    end: float,
+    ended_by: abc.Set[signal.Signals],
+) -> bool:
     """Wait for the balancer to notice that the entry is not ready.
 
     Returns:
@@ -83,11 +94,19 @@
     if seconds <= 0:
         return False
     async with curio.ignore_after(seconds):
-        await stop_signals.next_stop()
+        await _await_end(stop_signals, ended_by)
         return True
     return False
 
 
+async def _await_end(
+    stop_signals: signals.Signals, ended_by: abc.Set[signal.Signals]
+) -> None:
+    """Wait for a signal that ends the draining."""
+    while (number := await stop_signals.next_stop()) not in ended_by:
+        _log.warning("{} received again, the stop goes on.", number.name)
+
+
 async def _refuse_remaining(
     driver: daemon_driver.Driver, limits: settings.Limits
 ) -> None:
--- a/tests/daemon/test_late_requests.py
+++ b/tests/daemon/test_late_requests.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import signal
 import socket
 
 import curio
@@ -67,8 +68,14 @@
     return routed_fleet.create_table(1, lookups, bookings)
 
 
-async def stop(rig, signal_lag=0.0):
-    """Stop the entry; return the task of its stop."""
+async def stop(rig, signal_lag=0.0, repeats=()):
+    """Stop the entry; return the task of its stop.
+
+    Args:
+        rig: The entry.
+        signal_lag: Seconds for which its loop doesn't read the signal.
+        repeats: Further signals, each with seconds since the first one.
+    """
     cfg = settings.Settings(
         entry="entry-0",
         failure_domain="boston",
@@ -85,6 +92,8 @@
         settings.SecureListen(port=0), rig.server.serve, "/callers"
     )
     await listener.start()
+    for number, seconds in repeats:
+        await curio.spawn(_signal_later, writer, number, seconds, daemon=True)
     return await curio.spawn(
         stopping.stop,
         rig.driver,
@@ -92,9 +101,16 @@
         listener,
         stop_signals,
         daemon_main._stop_limits(cfg),
+        None,
+        daemon_main._ending_signals(cfg),
     )
 
 
+async def _signal_later(writer, number, seconds):
+    await curio.sleep(seconds)
+    writer.send(bytes([number]))
+
+
 @pytest.fixture
 def send_late(virtual_run):
     """Return a function that sends a late request.
@@ -103,7 +119,7 @@
     instead, the seconds it took, and the number of runs at the target.
     """
 
-    def run(late, work_seconds=2.3, signal_lag=0.0):
+    def run(late, work_seconds=2.3, signal_lag=0.0, repeats=()):
         async def work(_request, _sock):
             await curio.sleep(work_seconds)
             return conftest.http_response(extra=test_routes.VALID)
@@ -114,7 +130,7 @@
             )
             began = clock.now()
             caller = await rig.caller()
-            stopped = await stop(rig, signal_lag)
+            stopped = await stop(rig, signal_lag, repeats)
             head_at = late.sent_at if late.head_at is None else late.head_at
             await curio.sleep(began + head_at - clock.now())
             data = late.head()
@@ -236,3 +252,26 @@
     assert (first.status, second.status, runs) == (200, 503, 1)
     assert b"agateshelf-outcome: not-run" in second.head.lower()
     assert b"retry-after" in second.head.lower()
+
+
+@pytest.mark.parametrize("sent_at", [0.1, 1.0, 2.0])
+@pytest.mark.parametrize("repeated_at", [0.5, 1.5, 2.5, 3.2])
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP], ids=str)
+def test_signals_in_a_stop_break_off_no_request(
+    send_late, number, repeated_at, sent_at
+):
+    # The entry was told to stop again while it stopped.
+    status, _, runs = send_late(
+        Late(sent_at, timeout=2.0),
+        work_seconds=1.8,
+        repeats=[(number, repeated_at), (number, repeated_at + 0.1)],
+    )
+    assert (status, runs) == (200, 1)
+
+
+def test_an_operator_at_a_terminal_can_end_a_stop(send_late):
+    status, seconds, runs = send_late(
+        Late(1.0), repeats=[(signal.SIGINT, 1.5)], work_seconds=2.3
+    )
+    assert (status, runs) == (502, 1)
+    assert seconds == pytest.approx(0.5, abs=0.05)
