Count the last answers of a stop from its signal as well

The time in which a stopping entry writes its last refusals and answers began when it came to refuse, which a busy loop may delay: with a signal read 5.6 s late, an entry whose caller took nothing exited at 6.14 s of 6 s, where SIGKILL has ended it.

That time now ends at a fixed moment after the signal, as all others of the stop. test_stop_ends_in_the_grace_period_though_callers_read_nothing failed before with a lag of 5.6 and 5.9 s (virtual time).

--- a/src/agateshelf/daemon/stopping.py
+++ b/src/agateshelf/daemon/stopping.py
@@ -53,10 +53,11 @@
     requested_at = clock.now() - elapsed
     await driver.post(events.StopRequested(seconds, elapsed))
     unready_until = requested_at + limits.unready_seconds
+    exits_by = requested_at + seconds + limits.last_words_seconds
     if await _signalled_before(stop_signals, unready_until, ended_by):
         _log.warning("Second stop signal received before the listener closed.")
         await listener.close()
-        await _refuse_remaining(driver, limits)
+        await _refuse_remaining(driver, limits, exits_by)
         return
     await listener.close()
     await caller_server.stop()
@@ -77,7 +78,7 @@
         reason,
         driver.exchanges.in_flight.count,
     )
-    await _refuse_remaining(driver, limits)
+    await _refuse_remaining(driver, limits, exits_by)
 
 
 async def _signalled_before(
@@ -108,10 +109,13 @@
 
 
 async def _refuse_remaining(
-    driver: daemon_driver.Driver, limits: settings.Limits
+    driver: daemon_driver.Driver, limits: settings.Limits, exits_by: float
 ) -> None:
+    """Refuse the remaining calls, and wait until their callers are told."""
     await driver.post(events.StopDeadlinePassed())
-    async with curio.ignore_after(limits.last_words_seconds) as last_words:
+    left = max(0.0, exits_by - clock.now())
+    seconds = min(limits.last_words_seconds, left)
+    async with curio.ignore_after(seconds) as last_words:
         await driver.exchanges.in_flight.wait()
     if last_words.expired:
         _log.warning(
--- a/tests/daemon/test_cut_answers.py
+++ b/tests/daemon/test_cut_answers.py
@@ -85,3 +85,16 @@
     in_flight, seconds = entry(test)
     assert in_flight == 0
     assert seconds <= 0.98 * test_late_requests.GRACE_SECONDS
+
+
+@pytest.mark.parametrize("signal_lag", [0.0, 5.6, 5.9])
+def test_stop_ends_in_the_grace_period_though_callers_read_nothing(
+    entry, signal_lag
+):
+    async def test(rig, _caller):
+        began = clock.now()
+        stopped = await test_late_requests.stop(rig, signal_lag)
+        await stopped.join()
+        return clock.now() - began
+
+    assert entry(test) <= test_late_requests.GRACE_SECONDS
