Leave relayed requests all of their time

A relay was told 5 ms less than was left, as a target is so that its answer can travel back.

A relay now gets all the time that is left; its target is told 5 ms less, as any. test_relayed_request_is_not_ended_before_its_deadline failed before in all three cases.

--- a/src/agateshelf/daemon/targets/requests.py
+++ b/src/agateshelf/daemon/targets/requests.py
@@ -1,10 +1,12 @@
 """Encodes requests for targets."""
 
+import math
 from typing import TYPE_CHECKING
 
 import h11
 
 from agateshelf import const
+from agateshelf.core import effects
 from agateshelf.core.retries import deadlines
 from agateshelf.daemon import dialect as daemon_dialect
 from agateshelf.daemon import messages
@@ -21,6 +23,7 @@
 _REPLACED_HEADERS = frozenset(
     {b"content-length", b"expect", _NO_RETRY, _RELAY_TARGET, _RELAY_WORKSPACE}
 )
+_MILLISECONDS_PER_SECOND = 1000
 _END_OF_MESSAGE = h11.EndOfMessage()
 _METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
@@ -50,6 +53,17 @@
     return b"".join(parts)
 
 
+def _milliseconds_left(effect: effects.StartAttempt) -> int:
+    """Return the timeout that a target or a relay is told.
+
+    A relay gets all the time that is left, as its own answer at the end of it
+    would be taken for a failure before the caller's time is over.
+    """
+    if effect.relay:
+        return math.ceil(effect.timeout * _MILLISECONDS_PER_SECOND)
+    return deadlines.propagated_timeout_ms(effect.timeout)
+
+
 def _headers(
     running: attempts.RunningAttempt,
     via: bytes,
@@ -65,8 +79,7 @@
     if host is None:
         host = effect.address.encode()
         headers.append((b"host", host))
-    milliseconds = deadlines.propagated_timeout_ms(effect.timeout)
-    headers.append((dialect.timeout_ms, b"%d" % milliseconds))
+    headers.append((dialect.timeout_ms, b"%d" % _milliseconds_left(effect)))
     if effect.relay:
         headers.append((_RELAY_TARGET, effect.target.encode()))
     elif dialect.expected_target:
