--- a/src/agateshelf/daemon/callers/writing.py
+++ b/src/agateshelf/daemon/callers/writing.py
@@ -70,8 +70,8 @@
 
     Raises:
         h11.RemoteProtocolError: The target's answer is incomplete.
-        curio.TaskTimeout: The target sent nothing within the idle timeout, or
-            not all of the answer within the call's timeout.
+        curio.TaskTimeout: The target did not send all of the answer within the
+            call's timeout.
         OSError: Either connection is broken.
     """
     source = answer.source
@@ -94,7 +94,7 @@
         left = answer.expires_at - clock.now()
         if left <= 0:
             raise curio.TaskTimeout("the call's timeout passed")
-        async with curio.timeout_after(min(conn.limits.idle_seconds, left)):
+        async with curio.timeout_after(left):
             event = await source.next_event()
         conn.enter(reading.Phase.WRITING)
         if not isinstance(event, h11.Data):
