Refuse no call at the end of a stop whose answer streams

Such calls are left alone, as they are at their deadline; the stream ends or is cut when the process exits. Attempts that end as another one begins to stream are logged as well. test_answer_that_streams_is_not_refused_at_the_end_of_a_stop failed before.

--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -218,6 +218,11 @@
     state.forwarding.streaming.add(attempt.number)
     emitted: Effects = []
     for number in sorted(call.attempts - {attempt.number}):
+        emitted.append(
+            finishing.ended_event(
+                state, now, call, number, models.EndCause.ANSWERED
+            )
+        )
         ended = finishing.end_attempt(
             state, now, number, dispatch_models.Ending.NEUTRAL
         )
--- a/src/agateshelf/core/forwarding/finishing.py
+++ b/src/agateshelf/core/forwarding/finishing.py
@@ -90,7 +90,7 @@
     """Cancel the call's attempts; each may have run the request."""
     emitted: Effects = []
     for number in sorted(call.attempts):
-        emitted.append(_ended_event(state, now, call, number, cause))
+        emitted.append(ended_event(state, now, call, number, cause))
         ended = end_attempt(state, now, number, dispatch_models.Ending.NEUTRAL)
         call.verdict = max(call.verdict, outcome_models.Verdict.MAY_HAVE_RUN)
         emitted.append(effects.CancelAttempt(number))
@@ -100,7 +100,7 @@
     return emitted
 
 
-def _ended_event(
+def ended_event(
     state: core_state.State,
     now: float,
     call: models.Call,
@@ -172,9 +172,14 @@
 
 
 def on_stop_deadline(state: core_state.State, now: float) -> Effects:
-    """Refuse all remaining calls: the process is about to exit."""
+    """Refuse all remaining calls: the process is about to exit.
+
+    Answers that are being streamed go on until it does.
+    """
     emitted: Effects = []
     for call in list(state.forwarding.calls.values()):
+        if call.attempts & state.forwarding.streaming:
+            continue
         refusal = refusals.stopping(call)
         emitted.extend(
             give_up(state, now, call, refusal, cause=models.EndCause.STOP)
--- a/tests/core/forwarding/test_ended_attempts.py
+++ b/tests/core/forwarding/test_ended_attempts.py
@@ -241,3 +241,23 @@
     fleet.run_for(0.05)
     (sent,) = [send for sends in fleet.sends.values() for send in sends]
     assert sent[2].timeout <= 2.0 - 1.2 + 0.5
+
+
+def stream(fleet, effect):
+    fleet.post(
+        next(iter(fleet.nodes.values())),
+        events.AttemptAnswered(effect.attempt, 200, streaming=True),
+    )
+
+
+def test_answer_that_streams_is_not_refused_at_the_end_of_a_stop(fleet):
+    node = next(iter(fleet.nodes.values()))
+    call = book(fleet, node.name)
+    fleet.run_for(0.1)
+    (sent,) = [send for sends in fleet.sends.values() for send in sends]
+    stream(fleet, sent[2])
+    fleet.post(node, events.StopRequested(STOP_SECONDS))
+    fleet.post(node, events.StopDeadlinePassed())
+    assert fleet.response(call) == ("answer", sent[2].attempt)
+    assert ended(fleet) == []
+    assert "call.refused" not in [note.event for _, note in node.notes]
