--- a/tests/core/forwarding/test_ended_attempts.py
+++ b/tests/core/forwarding/test_ended_attempts.py
@@ -223,7 +223,7 @@
         assert fleet.cancelled == logged
 
 
-@pytest.mark.parametrize("waited", [0.0, 0.05, 0.3])
+@pytest.mark.parametrize("waited", [0.0, 0.05, 0.3, 0.39])
 def test_what_a_request_may_have_waited_ends_it_no_sooner(fleet, waited):
     # It may as well have come at the end of that time.
     name = next(iter(fleet.nodes))
--- a/tests/core/reach/test_relays.py
+++ b/tests/core/reach/test_relays.py
@@ -326,3 +326,30 @@
     assert kind == "refused"
     assert refusal.outcome is outcome_models.Outcome.NOT_RUN
     assert not fleet.sends["t0"]
+
+
+def test_a_booking_that_a_target_runs_is_not_moved_by_a_cut():
+    # It would be broken off, and could run twice.
+    fleet = CutFleet(silent=True)
+    book = routed_fleet.create_route(
+        name="book", prefix="/book/", idempotent=False, timeout=5.0
+    )
+    fleet.change(
+        table=routed_fleet.create_table(2, routed_fleet.create_route(), book)
+    )
+    fleet.run_for(0.5)
+    name = next(iter(fleet.nodes))
+    fleet.run_seconds = 4.0
+    call = fleet.request(name, path="/book/1", method="POST", timeout=5.0)
+    fleet.run_for(0.1)
+    fleet.run_seconds = 0.1
+    fleet.cut = {name}
+    lookups = fleet.send_for(3.0, [name])
+    notes = fleet.nodes[name].notes
+    assert "reach.lost" in [note.event for _, note in notes]
+    fleet.run_for(2.0)
+    assert fleet.response(call)[0] == "answer"
+    moved = [note for _, note in notes if note.event == "attempt.ended"]
+    assert moved
+    assert f"r{call}" not in [note.request_id for note in moved]
+    assert fleet.served(lookups) > 0.8 * len(lookups)
--- a/tests/daemon/test_stop_signals.py
+++ b/tests/daemon/test_stop_signals.py
@@ -54,3 +54,18 @@
         return response
 
     assert virtual_run(body).status == status
+
+
+def test_a_stop_counts_from_its_first_signal(virtual_run):
+    async def body():
+        reader, writer = socket.socketpair()
+        reader.setblocking(False)
+        received = signals.Signals(curio.io.Socket(reader), writer)
+        received.on_signal(signal.SIGHUP, None)
+        await curio.sleep(1.0)
+        received.on_signal(signal.SIGTERM, None)
+        await curio.sleep(2.0)
+        received.on_signal(signal.SIGTERM, None)
+        return received.seconds_since_stop()
+
+    assert virtual_run(body) == pytest.approx(2.0)
