Refuse connections of entries that relay once a stop accepts no more

A stopping entry closed its listener for callers, but went on accepting connections at that for other entries until it exited. It closed them unread, and the other entry then tells its caller 502 'may have run' for a request that nobody read (by the review; not seen end to end, as entries learn within a second who leaves).

Both listeners are closed now, after what the kernel has accepted is taken. A refused connection shows that nothing was read, so that another relay is chosen. test_late_relays_are_refused_before_anything_is_read failed before at 3.7 s.

--- a/src/agateshelf/daemon/main.py
+++ b/src/agateshelf/daemon/main.py
@@ -316,8 +316,10 @@
         await driver.post(create_started(cfg, driver.peers, epoch))
         for other in _create_other_listeners(cfg, driver):
             await other.start()
+        relay_listener: listening.Listener | None = None
         if _relay_address(cfg):
-            await _create_relay_listener(cfg, relay_server).start()
+            relay_listener = _create_relay_listener(cfg, relay_server)
+            await relay_listener.start()
 
         async def start_listener() -> None:
             await listener.start()
@@ -348,6 +350,7 @@
             stop_signals,
             _stop_limits(cfg),
             relay_server,
+            relay_listener,
             _ending_signals(cfg),
         )
         _log.info("Entry {} stopped.", cfg.entry)
--- a/src/agateshelf/daemon/stopping.py
+++ b/src/agateshelf/daemon/stopping.py
@@ -34,6 +34,7 @@
     stop_signals: signals.Signals,
     limits: settings.Limits,
     relay_server: server.CallerServer | None = None,
+    relay_listener: listening.Listener | None = None,
     ended_by: abc.Set[signal.Signals] = STOP_SIGNALS,
 ) -> None:
     """Drain the calls; refuse the remaining ones at a signal or deadline.
@@ -46,6 +47,8 @@
         limits: Maximum durations of the steps of the stop.
         relay_server: The server for other entries, whose connections are closed
             as well.
+        relay_listener: The listener for other entries. They are refused then,
+            and know that nothing was read.
         ended_by: Signals that end the draining, as a second stop signal.
     """
     elapsed = stop_signals.seconds_since_stop()
@@ -60,6 +63,8 @@
         await _refuse_remaining(driver, limits, exits_by)
         return
     await listener.close()
+    if relay_listener is not None:
+        await relay_listener.close()
     await caller_server.stop()
     if relay_server is not None:
         await relay_server.stop()
--- a/tests/daemon/test_late_requests.py
+++ b/tests/daemon/test_late_requests.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import errno
 import signal
 import socket
 
@@ -68,13 +69,14 @@
     return routed_fleet.create_table(1, lookups, bookings)
 
 
-async def stop(rig, signal_lag=0.0, repeats=()):
+async def stop(rig, signal_lag=0.0, repeats=(), relay_listener=None):
     """Stop the entry; return the task of its stop.
 
     Args:
         rig: The entry.
         signal_lag: Seconds for which its loop doesn't read the signal.
         repeats: Further signals, each with seconds since the first one.
+        relay_listener: Its listener for other entries.
     """
     cfg = settings.Settings(
         entry="entry-0",
@@ -102,6 +104,7 @@
         stop_signals,
         daemon_main._stop_limits(cfg),
         None,
+        relay_listener,
         daemon_main._ending_signals(cfg),
     )
 
@@ -275,3 +278,28 @@
     )
     assert (status, runs) == (502, 1)
     assert seconds == pytest.approx(0.5, abs=0.05)
+
+
+@pytest.mark.parametrize(("at", "refused"), [(2.0, False), (3.7, True)])
+def test_late_relays_are_refused_before_anything_is_read(
+    virtual_run, at, refused
+):
+    # A connection that is closed unread would count as "may have run".
+    async def body():
+        rig = await test_routes.create_entry([], create_table(), is_relay=True)
+        relay_listener = listening.create_listener(
+            settings.SecureListen(port=0), rig.server.serve, "/relay"
+        )
+        await relay_listener.start()
+        host, _, port = relay_listener.address.rpartition(":")
+        holder = await rig.caller()
+        stopped = await stop(rig, relay_listener=relay_listener)
+        await holder.send(Late(0.0, is_relayed=True).head())
+        await curio.sleep(at)
+        # The kernel answers without the loop, whose time would go on.
+        with socket.socket() as sock:
+            status = sock.connect_ex((host, int(port)))
+        await stopped.join()
+        return status == errno.ECONNREFUSED
+
+    assert virtual_run(body) is refused
