Ask in an outage of the store when it is back

What callers saw: a target whose registration had expired in a silent outage was taken for gone before it was back, up to 2 s of one target.

Cause: few removals after an outage are held until the store is stable again, counted from the earliest time at which it can have come back. Reads that hang for 1.5 s and pauses of up to 1.3 s left that unknown by up to 2.4 s (traced: 2.463 s to 4.904 s in the first case), so that the removal was held for 0.16 s only. A hanging read that failed after a later check had even moved that time back.

Change: once nothing has been heard from the store for nearly as long as a registration takes to expire, a reader sends a stale read with each heartbeat, beside what it reads. It never moves the time back.

A target that is back only 1.8 s after the store is still taken for gone before, as removals must be in force once the store is stable.

--- a/src/agateshelf/core/feed/models.py
+++ b/src/agateshelf/core/feed/models.py
@@ -162,6 +162,9 @@
         failed_at: Time at which the store was last known not to answer.
         returned_after: Earliest time at which the store can have come back from
             its latest outage.
+        return_request: Number of the pending request that shows whether the
+            store is back; 0 if there is none.
+        return_asked_at: Time at which that was sent.
         removal_grace_until: Time until which removals are deferred, since the
             store was away.
         deferred_removals: Deferred removals, by target.
@@ -197,6 +200,8 @@
     store_heard_at: float = -math.inf
     failed_at: float = -math.inf
     returned_after: float = -math.inf
+    return_request: int = 0
+    return_asked_at: float = -math.inf
     removal_grace_until: float = -math.inf
     deferred_removals: dict[str, DeferredRemoval] = dataclasses.field(
         default_factory=dict
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -31,6 +31,7 @@
     feed.is_reader = True
     feed.announced = False
     feed.check_request = 0
+    feed.return_request = 0
     feed.store_unresponsive = False
     feed.relayed_at = state.directory.revision
     freshness.note_takeover(feed)
@@ -65,6 +66,7 @@
     watched = relaying.watches_all(feed)
     if watched:
         emitted.extend(checking.check(state, now))
+    emitted.extend(outages.check_return(state, now))
     if watched and not feed.store_unresponsive:
         feed.synced_at = now
         recipients = [
@@ -167,6 +169,9 @@
     feed = state.feed
     if not isinstance(event.answer, models.Unavailable):
         outages.note_heard(state, now)
+    if event.request == feed.return_request:
+        outages.on_return_answer(feed, event.answer)
+        return []
     began = feed.proof.reads.pop(event.request, None)
     if event.request == feed.check_request:
         emitted = checking.on_answer(state, now, event.answer)
