Expect no wait for an owner's reply at the owner itself

What callers saw: requests at a slowed owner were refused with 503 as entry-overloaded in the first moments of its slowness, before others had relieved it, though it could have answered them in time.

Cause: admission expects three waits of the entry's delay, the first of them for the reply of the owner. An entry that owns all pools of the route decides itself and has two.

Change: an owner of all pools of a route counts one wait less.

The new test_an_owner_waits_for_no_reply shows both cases.

--- a/src/agateshelf/core/overload/admission.py
+++ b/src/agateshelf/core/overload/admission.py
@@ -9,6 +9,8 @@
 from agateshelf.core import events
 from agateshelf.core import state as core_state
 from agateshelf.core.dispatch import const as dispatch_const
+from agateshelf.core.dispatch import owners
+from agateshelf.core.dispatch import pools
 from agateshelf.core.outcomes import const as outcome_const
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.overload import const
@@ -28,7 +30,7 @@
     if late < const.OVERLOAD_SECONDS and event.waited < timeout:
         return None
     work = dispatch_const.INITIAL_WORK_SHARE * route.target_latency
-    needed = const.WAITS_OF_REQUEST * late + work + const.CALLER_SECONDS
+    needed = _waits(state, route) * late + work + const.CALLER_SECONDS
     if event.waited + needed <= const.SHARE_OF_TIMEOUT * timeout:
         return None
     state.overload.own.refused += 1
@@ -42,6 +44,17 @@
     )
 
 
+def _waits(state: core_state.State, route: route_models.Route) -> int:
+    """Return how often a request waits here; an owner asks nobody else."""
+    is_owner = all(
+        owners.is_owner(state, pool)
+        for share in route.shares
+        for pool in pools.names_of(state, share.service)
+    )
+    waits = const.WAITS_OF_REQUEST
+    return waits - 1 if is_owner else waits
+
+
 def inputs_of(
     state: core_state.State, now: float, event: events.RequestArrived
 ) -> tuple[tuple[str, float], ...]:
--- a/tests/core/overload/test_admission.py
+++ b/tests/core/overload/test_admission.py
@@ -9,6 +9,7 @@
 from tests.core.overload import slow_fleet
 
 from agateshelf.core import events
+from agateshelf.core.dispatch import owners
 from agateshelf.core.outcomes import models as outcome_models
 from agateshelf.core.overload import const
 
@@ -134,6 +135,26 @@
     assert (fleet.response(call)[0] == "refused") is is_refused
 
 
+@pytest.mark.parametrize(
+    ("is_owner", "is_refused"), [(True, False), (False, True)]
+)
+def test_an_owner_waits_for_no_reply(is_owner, is_refused):
+    # It would refuse requests that it can answer in time.
+    fleet = slow_fleet.SlowFleet(DOMAINS, SIZES, targets=24)
+    fleet.event_seconds = 0.0
+    fleet.run_for(0.1)
+    node = next(
+        node
+        for node in fleet.nodes.values()
+        if owners.is_owner(node.state, "status") is is_owner
+    )
+    for _ in range(2):
+        fleet.post(node, events.LoopDelayed(0.15))
+    call = fleet.request(node.name)
+    fleet.run_for(0.5)
+    assert (fleet.response(call)[0] == "refused") is is_refused
+
+
 def test_a_delay_is_forgotten():
     fleet, node = create_late_entry(0.2, 0.2)
     fleet.run_for(const.DELAY_VALID_SECONDS + 0.01)
