Ask lost counters again once a partition has ended

What callers saw: for 1.5 s after a partition, requests within the quota were refused with 429 at entries of the smaller side.

Cause: an entry skips a counter that was silent, for twice as long each time, up to 8 s after 14 s of a partition. After its end the entries of the smaller side went on skipping all three replicas of a shard, and decided alone within a hundredth of the rate. Silences were only forgotten once membership found an entry live again, up to 2 s later.

Change: when an entry that is lost is heard again, the silences of all lost entries are forgotten, at most once a second. Each side hears some entry of the other one within 0.2 s. A counter that is still away costs a call one timeout of 60 ms.

--- a/src/agateshelf/core/quotas/handling.py
+++ b/src/agateshelf/core/quotas/handling.py
@@ -51,6 +51,7 @@
 
     Answers to pings are looked at only; membership handles them.
     """
+    requesting.note_heard(state, now, peer)
     if isinstance(message, _MESSAGES):
         builds.note_quotas(state, peer)
     match message:
--- a/src/agateshelf/core/quotas/models.py
+++ b/src/agateshelf/core/quotas/models.py
@@ -318,6 +318,7 @@
         settled: Counters of the questions settled lately, by number.
         counted: Grants for calls of the last moments, in order of time.
         silences: Entries that are not asked for a while.
+        lost_heard_at: When a lost entry was last noted to be heard again.
         fallback: Paces of the requests that this entry grants by itself.
         lone: Paces of what it grants as a replica that hears no other one.
         low_shares: Times until which a share of the quotas holds, and that
@@ -356,6 +357,7 @@
         default_factory=collections.deque
     )
     silences: dict[str, Silence] = dataclasses.field(default_factory=dict)
+    lost_heard_at: float = -math.inf
     fallback: dict[str, notice_models.Pace] = dataclasses.field(
         default_factory=dict
     )
--- a/src/agateshelf/core/quotas/requesting.py
+++ b/src/agateshelf/core/quotas/requesting.py
@@ -203,6 +203,21 @@
     return [*emitted, *_ask_next(state, now, question)]
 
 
+def note_heard(state: core_state.State, now: float, peer: str) -> None:
+    """Forget the silences of lost entries when one of them is heard again.
+
+    A partition may have ended, and the others answer before they are known to
+    be live. Each that doesn't costs a call a timeout, so this is done rarely.
+    """
+    quotas = state.quotas
+    lost = state.membership.lost_at
+    if peer not in lost or now - quotas.lost_heard_at < const.SILENCE_SECONDS:
+        return
+    quotas.lost_heard_at = now
+    for entry in lost:
+        quotas.silences.pop(entry, None)
+
+
 def on_decided(
     state: core_state.State,
     now: float,
