Let a stopping entry follow changes of routes and targets

An entry that stops serves callers for half of the grace period, but learned of no change once the others knew that it was leaving. Callers were told 504 by a timeout that the route no longer had, while their target was at work, and by the same cause it would refuse new routes and use targets that left.

Cause: readers send changes to the live entries of their failure domain, and an entry that leaves isn't one of them. It asked nobody itself.

A stopping entry now asks the reader of its failure domain, or another entry, for changes at each heartbeat (0.4 s).

--- a/src/agateshelf/core/feed/handling.py
+++ b/src/agateshelf/core/feed/handling.py
@@ -64,7 +64,8 @@
     emitted.extend(evacuation.on_due(state, now, const.SOURCE_DEFERRED))
     emitted.extend(proof_requests.on_due(state, now))
     if state.stopping:
-        return emitted
+        # It counts as leaving, so that readers send it nothing.
+        return [*emitted, *relaying.request_from_neighbour(state)]
     emitted.extend(on_reader_resigned(state, now))
     if state.feed.is_reader:
         emitted.extend(reading.continue_reading(state, now))
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -93,6 +93,20 @@
     return [effects.SendToPeers(tuple(entries), message)]
 
 
+def request_from_neighbour(state: core_state.State) -> Effects:
+    """Request changes from the reader of this entry's failure domain.
+
+    Without one that is live, another entry of it is asked, or one of another
+    failure domain.
+    """
+    others = neighbours(state)
+    if not others:
+        return request_from_other_domain(state)
+    reader = state.feed.reader
+    asked = reader if reader in others else state.rng.choice(sorted(others))
+    return send([asked], create_request(state))
+
+
 def request_from_other_domain(state: core_state.State) -> Effects:
     """Request changes from a random entry of another failure domain."""
     me = state.identity
--- a/tests/core/feed/test_feed.py
+++ b/tests/core/feed/test_feed.py
@@ -380,3 +380,24 @@
     fleet.reads.clear()
     fleet.run_for(8.0)
     assert reader.name in {name for _, name, _ in fleet.reads}
+
+
+@pytest.mark.parametrize("domains", [("boston",) * 6, ("boston", "hartford")])
+@pytest.mark.parametrize("position", [0, 1, -1])
+def test_stopping_entry_follows_changes(domains, position):
+    # It serves for half of the grace period, and ends its calls after that.
+    fleet = routed_fleet.create_fleet(domains)
+    fleet.run_for(2.0)
+    node = list(fleet.nodes.values())[position]
+    fleet.post(node, events.StopRequested(5.28))
+    for version in range(11, 14):
+        fleet.run_for(0.6)
+        route = routed_fleet.create_route(timeout=float(version))
+        name = f"new-{version}"
+        fleet.change(
+            routed_fleet.create_target(name, revision=version),
+            table=routed_fleet.create_table(version, route),
+        )
+        fleet.run_for(1.0)
+        assert node.state.routes.table.version == version
+        assert name in node.state.directory.targets
