Let relays end no request by their own version of the route

A relay applied the timeout of the route to a relayed request once more, in the version that it knew. After a change that not all entries had yet, it ended requests before the time of their callers had passed, and the entry that had the call took that for a failure of the target and told its caller 502.

The entry that has the call has applied its route, and tells the relay what is left: that alone counts there now.

--- a/src/agateshelf/core/forwarding/arrivals.py
+++ b/src/agateshelf/core/forwarding/arrivals.py
@@ -182,11 +182,22 @@
         caller=event.caller,
         arrived=arrived,
         soft_deadline=arrived + _soft_timeout(state.routes, route, timeout),
-        deadline=now - counted + min(timeout, route.timeout),
+        deadline=now - counted + _time_limit(event, route, timeout),
         key_digest=event.key_digest,
     )
 
 
+def _time_limit(
+    event: events.RequestArrived, route: route_models.Route, timeout: float
+) -> float:
+    """Return the seconds after which this entry ends a request.
+
+    The entry that has the call of a relayed one has applied its route already,
+    in the version that was in force there when the request came.
+    """
+    return timeout if event.relay_target else min(timeout, route.timeout)
+
+
 def _soft_timeout(
     routes: route_models.RoutesState,
     route: route_models.Route,
--- a/tests/daemon/test_late_requests.py
+++ b/tests/daemon/test_late_requests.py
@@ -217,6 +217,34 @@
     assert (status, runs) == (200, 1)
 
 
+@pytest.mark.parametrize("route_timeout", [0.4, 2.0, 8.0])
+def test_relay_doesnt_end_a_request_by_its_own_version_of_the_route(
+    virtual_run, route_timeout
+):
+    # The entry that has the call would take it for a failure of the target.
+    async def silent(_request, _sock):
+        await curio.sleep(30.0)
+        return conftest.http_response(extra=test_routes.VALID)
+
+    async def body():
+        route = routed_fleet.create_route(
+            name="b", prefix="/book/", idempotent=False, timeout=route_timeout
+        )
+        table = routed_fleet.create_table(1, route)
+        rig = await test_routes.create_entry([silent], table, is_relay=True)
+        entry = await rig.caller()
+        relayed = Late(0.0, timeout=2.0, is_relayed=True)
+        await entry.send(relayed.head() + b"hi")
+        began = clock.now()
+        (response,) = await entry.read_responses(1)
+        seconds = clock.now() - began
+        return response.status, seconds, len(rig.target[0].requests)
+
+    status, seconds, runs = virtual_run(body)
+    assert (status, runs) == (504, 1)
+    assert seconds == pytest.approx(2.0, abs=0.01)
+
+
 @pytest.mark.parametrize("sent_at", [0.1, 1.0, 2.0])
 def test_early_request_is_served(send_late, sent_at):
     status, _, runs = send_late(Late(sent_at))
