Compare cut entries with the others on the same routes

The check was wrong: it compared shares of all requests, whatever route they took.

Traced at 17:45 (9 of 80 against 45 of 212): one failure domain was evacuated, targets left, and the last one of the service of lookups had asked for a pause, so that entries of both kinds refused lookups at once as targets-paused: 0 of 71 served at the cut entries, 3 of 170 at the other. Of bookings the cut entries served 9 of 9, the other 42 of 42. Lookups were 89 in 100 of the requests at the cut entries and 80 in 100 at the other, which was all of the difference.

The cut entries must now serve two thirds of what the others would serve of the same requests, by their share on each route. With one route that is the same bound; with several it also finds what the old check missed, as when cut entries serve no lookups, which all are served elsewhere, but bookings, which are not. Both cases are in test_invariants.py and fail with the old check.

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -71,8 +71,9 @@
 WARMUP_FACTOR = 1.5
 WARMUP_EXTRA = 8
 # From CUT_SETTLING_SECONDS after entries were cut off from all targets, they
-# serve at least MIN_CUT_SHARE of the share that the others serve, or fail at
-# most MAX_CUT_FAILURES and MAX_CUT_FAILURE_SHARE of all requests.
+# serve at least MIN_CUT_SHARE of what the others would, by the share that these
+# serve on each route, or fail at most MAX_CUT_FAILURES and
+# MAX_CUT_FAILURE_SHARE of all requests.
 CUT_SETTLING_SECONDS = 3.0
 MIN_CUT_SHARE = 2 / 3
 MAX_CUT_FAILURES = 10
@@ -637,7 +638,7 @@
 
 
 def _unserved_at_cut_entries(history: history_lib.History) -> list[str]:
-    """Find cut entries that serve far less than the others.
+    """Find cut entries that serve far less than the others on the same routes.
 
     Requests at entries that were killed, stopped or paused, or whose other
     links were broken, don't count, nor do those at times at which that held for
@@ -683,12 +684,22 @@
     allowed = MAX_CUT_FAILURES + MAX_CUT_FAILURE_SHARE * len(calls)
     if not there or not elsewhere or failed <= allowed:
         return []
-    share = served_there / len(there)
-    if share >= MIN_CUT_SHARE * served_elsewhere / len(elsewhere):
+    # All targets of one service may pause, be limited or leave.
+    expected = 0.0
+    for route in {_route_of(call) for call in there}:
+        others = [c for c in elsewhere if _route_of(c) == route] or elsewhere
+        share = sum(call.status == 200 for call in others) / len(others)
+        expected += share * sum(_route_of(call) == route for call in there)
+    if served_there >= MIN_CUT_SHARE * expected:
         return []
     counts = f"{served_there} of {len(there)}"
-    others = f"{served_elsewhere} of {len(elsewhere)}"
-    return [f"cut entries served {counts}, the others {others}"]
+    counts_elsewhere = f"{served_elsewhere} of {len(elsewhere)}"
+    return [f"cut entries served {counts}, the others {counts_elsewhere}"]
+
+
+def _route_of(call: history_lib.Call) -> str:
+    """Return the part of a request's path that selects its route."""
+    return call.path.split("/")[1]
 
 
 def _missing_recovery(history: history_lib.History) -> list[str]:
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -403,3 +403,57 @@
     )
     found = invariants.find_violations(history)
     assert any("broken off" in line for line in found)
+
+
+def create_cut_history(*counts):
+    """Create a history of a cut entry 0 and another; see the test."""
+    calls = [
+        create_call(
+            f"{path}-{entry}-{n}",
+            path=f"/{path}/{path}-{entry}-{n}",
+            idempotent=path == "vin",
+            entry=entry,
+            sent_at=104.0,
+            ended_at=104.1,
+            status=200 if n < served else 503,
+            verified=n < served,
+        )
+        for path, entry, served, sent in counts
+        for n in range(sent)
+    ]
+    cut = history_lib.FaultWindow("cut", 0, 100.0, 110.0)
+    return create_history(*calls, fault_windows=[cut])
+
+
+@pytest.mark.parametrize(
+    ("counts", "is_found"),
+    [
+        # Seed 1015: all targets of lookups but one were evacuated, and it
+        # paused, while lookups were more of the requests at the cut entries.
+        (
+            [
+                ("vin", 0, 0, 71),
+                ("book", 0, 9, 9),
+                ("vin", 1, 3, 170),
+                ("book", 1, 42, 42),
+            ],
+            False,
+        ),
+        ([("book", 0, 13, 40), ("book", 1, 20, 40)], True),
+        ([("book", 0, 14, 40), ("book", 1, 20, 40)], False),
+        # The same share of all requests, but lookups are served elsewhere.
+        (
+            [
+                ("vin", 0, 0, 40),
+                ("book", 0, 10, 10),
+                ("vin", 1, 10, 10),
+                ("book", 1, 0, 40),
+            ],
+            True,
+        ),
+        ([("vin", 0, 0, 40), ("book", 1, 40, 40)], True),
+    ],
+)
+def test_cut_entries_are_compared_on_the_same_routes(counts, is_found):
+    found = invariants._unserved_at_cut_entries(create_cut_history(*counts))
+    assert bool(found) is is_found
