--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -93,8 +93,8 @@
         (
             Edit(
                 f"{_CORE}/forwarding/arrivals.py",
-                "deadline=arrived + min(timeout, route.timeout)",
-                "deadline=arrived + timeout",
+                "deadline=now - counted + min(timeout, route.timeout)",
+                "deadline=now - counted + timeout",
             ),
         ),
     ),
