Let the soak stop entries in series under payouts

The soak stopped single entries, sent SIGTERM once, and looked only at requests that were sent in the second half of a stop. It could not find what the users recorded as LOST (their rule: no request that a target runs is broken off around planned work).

The new plan stops up to 16 entries 1.1 s apart and starts them again, with SIGTERM twice, SIGHUP, a route table each second, targets that work up to 2.6 s or reset, and bookings of 4 kB on fresh connections. Some stops come while the entry reads its settings from a slow file. The invariant now finds each request that a target ran and that ended without its answer before its timeout, counted from before its last bytes were sent, from SIGTERM until 1 s after the grace period; at the end of a stop it excuses those of its first half. It finds any 400 as well. Two cases of test_invariants held that early requests may be broken off at any time of a stop and after it; they now say what the rule says, which is stricter.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,7 @@
 HOST = "soak.example"
 LOOKUP_TIMEOUT_SECONDS = 1.0
 BOOKING_TIMEOUT_SECONDS = 1.5
+DEADLINE_SECONDS = 4.0
 _RESPONSE_TIMEOUT_SECONDS = 4.0
 _DISCONNECT_SHARE = 0.05
 _CHUNKED_SHARE = 0.2
@@ -96,7 +97,7 @@
                     await curio.sleep(self.rng.uniform(0.0, 0.04))
                     call.disconnected = True
                     return
-                if not await _await_response(sock, conn, call):
+                if not await await_response(sock, conn, call):
                     return
                 conn.start_next_cycle()
                 await curio.sleep(self.rng.expovariate(1 / self.mean_pause))
@@ -118,7 +119,7 @@
             who = workspaces.draw_credentials(self.rng, self.cluster.workspaces)
             call.workspace, call.key = who.workspace, who.key
             conn = h11.Connection(h11.CLIENT) if line else first
-            data += b"".join(_encode(conn, call, ([], False), who))
+            data += b"".join(encode(conn, call, ([], False), who))
             line.append((call, conn))
         calls = [call for call, _ in line]
         split = len(data)
@@ -144,7 +145,7 @@
         for number, (call, conn) in enumerate(line):
             if rest:
                 conn.receive_data(rest)
-            if not await _await_response(sock, conn, call):
+            if not await await_response(sock, conn, call):
                 pipelining.note_close(calls[number + 1 :], call)
                 return None
             rest = conn.trailing_data[0]
@@ -235,7 +236,7 @@
     except OSError:
         return
     history.calls.append(call)
-    await _await_response(sock, conn, call)
+    await await_response(sock, conn, call)
 
 
 async def connect(address: str, source: str = "") -> Any:
@@ -262,11 +263,11 @@
     body: tuple[list[bytes], bool],
     who: workspaces.Credentials,
 ) -> None:
-    for part in _encode(conn, call, body, who):
+    for part in encode(conn, call, body, who):
         await sock.sendall(part)
 
 
-def _encode(
+def encode(
     conn: h11.Connection,
     call: history_lib.Call,
     body: tuple[list[bytes], bool],
@@ -277,7 +278,7 @@
     headers = [
         ("Host", HOST),
         ("X-Request-Id", call.id),
-        ("X-Deadline-Ms", "3000"),
+        ("X-Deadline-Ms", str(round(1000 * DEADLINE_SECONDS))),
         *who.headers(),
     ]
     if chunked:
@@ -292,7 +293,7 @@
     return data
 
 
-async def _await_response(
+async def await_response(
     sock: Any, conn: h11.Connection, call: history_lib.Call
 ) -> bool:
     """Wait for the response; return whether the connection can be reused."""
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -25,6 +25,7 @@
 from soak import invariants
 from soak import late_requests
 from soak import links
+from soak import payouts
 from soak import quotas
 from soak import workspaces as workspaces_lib
 
@@ -225,7 +226,7 @@
             ),
             *("--slots", "4", "--drain-ms", str(DRAIN_MS)),
             *("--crash-mark", invariants.CRASH_MARK),
-            *("--long-mark", late_requests.LONG_PREFIX),
+            *("--long-mark", late_requests.LONG_MARK),
             *("--long-ms", str(late_requests.LONG_SECONDS * 1000)),
         )
         target.link.upstream = target.process.address
@@ -307,6 +308,13 @@
                 timeout=late_requests.LONG_TIMEOUT_SECONDS * 1000,
                 target_latency=late_requests.LONG_SECONDS * 1000,
             ),
+            route(
+                "payouts",
+                payouts.PREFIX,
+                "bookings",
+                kind="unsafe",
+                timeout=payouts.TIMEOUT_SECONDS * 1000,
+            ),
             *markers,
         ],
         "services": [
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -86,6 +86,24 @@
     sent_at: tuple[float, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopInSeries:
+    """Stops an entry under payouts, and starts it again.
+
+    Attributes:
+        entry: Number of the entry.
+        payouts: Number of connections with payouts.
+        again_at: When SIGTERM comes again, in seconds from the first one.
+        busy_seconds: How long its loop is busy when SIGTERM comes; 0 if it is
+            not.
+    """
+
+    entry: int
+    payouts: int
+    again_at: float
+    busy_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplaceEntries:
     """Replaces entries one after the other, waiting until each is ready.
@@ -446,6 +464,7 @@
     | LeaveTogether
     | WriteOddEntry
     | StopUnderLateRequests
+    | StopInSeries
 )
 
 
@@ -467,6 +486,9 @@
             lookups at once.
         earlier_source: Source tree of an earlier build, with which all entries
             start; None to start with the build under test.
+        callers: Number of the usual callers.
+        recovery_seconds: Time without faults at the end, in which the system
+            recovers.
     """
 
     seed: int
@@ -478,6 +500,8 @@
     pipelining_callers: int = 0
     earlier_source: pathlib.Path | None = None
     quota: float = 0.0
+    callers: int = 8
+    recovery_seconds: float = 8.0
 
 
 # Multiplied by a factor between 0.3 and 1.3 that each plan draws.
@@ -527,6 +551,14 @@
 LATE_REQUESTS = (6, 16)
 LAST_LATE_SECONDS = 2.6
 MAX_WORKSPACES = 4
+# Plans with stops in series: time between two of them, payouts around each, and
+# share of the stops that come while the entry is busy. Targets work on a payout
+# for so long, by their number: near the timeout of the route, and for longer.
+STOP_INTERVAL_SECONDS = 1.1
+PAYOUTS = (20, 30)
+BUSY_SHARE = 0.4
+SERIES_TARGETS = 8
+WORK_MS = (100.0, 1500.0, 1850.0, 2600.0)
 # Share of the plans with workspaces in which one more has a quota, and of these
 # in which the quota is lowered.
 QUOTA_SHARE = 0.8
@@ -796,6 +828,42 @@
     return [(at, CutEntries(tuple(sorted(chosen)), mode, lasts))]
 
 
+def create_series(seed: int, entries: int) -> Plan:
+    """Draw a plan in which all entries are stopped in turn, as in a release."""
+    seconds = entries * STOP_INTERVAL_SECONDS
+    rng = random.Random(f"{seed}/series")
+    targets = max(SERIES_TARGETS, entries)
+    timed: list[tuple[float, Fault]] = [
+        (float(second), NewTable()) for second in range(1, int(seconds))
+    ]
+    for number, entry in enumerate(rng.sample(range(entries), entries)):
+        at = number * rng.uniform(0.8, 1.2) * STOP_INTERVAL_SECONDS
+        again_at, busy_seconds = rng.uniform(0.2, 3.0), 0.0
+        if rng.random() < BUSY_SHARE:
+            busy_seconds = rng.uniform(0.5, 0.7)
+        payouts = rng.randint(*PAYOUTS)
+        stop = StopInSeries(entry, payouts, again_at, busy_seconds)
+        timed += [(at, stop), (rng.uniform(at, at + 4.0), HangUp(entry, 2))]
+    for target in range(1, targets, 2):
+        work = WORK_MS[target // 2 % len(WORK_MS)]
+        change = ChangeTarget(target, seconds, "long_ms", work, work)
+        timed.append((0.0, change))
+    for _ in range(round(seconds / 2)):
+        reset = BreakLink("target", 1, Mode.RESET, rng.uniform(0.0, 0.2))
+        timed.append((rng.uniform(0.0, seconds), reset))
+    ordered = tuple(sorted(timed, key=lambda one: one[0]))
+    # A few callers beside the payouts, as a release has up to 16 entries.
+    return Plan(
+        seed,
+        entries,
+        targets,
+        seconds,
+        ordered,
+        callers=2,
+        recovery_seconds=1.0,
+    )
+
+
 def create_upgrade(
     seed: int, entries: int, earlier_source: pathlib.Path | None
 ) -> Plan:
--- a/soak/history.py
+++ b/soak/history.py
@@ -70,8 +70,8 @@
 
     Attributes:
         kind: `entry` for a pause or kill of an entry, `stop` for its stop by
-            SIGTERM, `link` for a fault of its links, `cut` for a cut from all
-            targets; `target` or `store` for
+            SIGTERM, `busy` while its loop is kept busy, `link` for a fault of
+            its links, `cut` for a cut from all targets; `target` or `store` for
             any fault of these.
         index: Number of the entry or target; -1 for all.
         begin: When the fault began.
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -21,6 +21,7 @@
 from soak import invariants
 from soak import late_requests
 from soak import leaving
+from soak import payouts
 from soak import signalling
 from soak import workspaces
 
@@ -54,6 +55,12 @@
             async with curio.TaskGroup() as group:
                 await late_requests.spawn(cluster, fault, group)
                 await _stop_entry(cluster, entry, fault.seconds, entry.source)
+        case faults.StopInSeries():
+            entry = cluster.entries[fault.entry]
+            async with curio.TaskGroup() as group:
+                await payouts.spawn(cluster, fault, group)
+                await curio.sleep(payouts.LEAD_SECONDS)
+                await _stop_entry(cluster, entry, 0.0, entry.source)
         case faults.ReplaceEntries():
             for is_earlier in fault.rounds:
                 source = cluster.earlier_source if is_earlier else None
@@ -417,7 +424,9 @@
         await _try_option(process, fault.option, value)
         if value == fault.value:
             await curio.sleep(fault.seconds)
-    cluster.add_fault_window(kind, index, begin)
+    # A target that works for long is no fault.
+    if fault.option != "long_ms":
+        cluster.add_fault_window(kind, index, begin)
 
 
 async def _try_option(process: Any, option: str, value: Any) -> bool:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -87,6 +87,7 @@
 # Route table N has the routes /m1/ to /mN/, which tell the versions apart.
 _VERSION_PREFIX = "/m"
 _NOT_FOUND = 404
+_BAD_REQUEST = 400
 
 
 def find_violations(history: history_lib.History) -> list[str]:
@@ -95,6 +96,7 @@
         _duplicate_runs,
         _false_refusals,
         _invalid_responses,
+        _refused_as_malformed,
         _late_responses,
         _lost_connections,
         _runs_after_drain,
@@ -192,12 +194,21 @@
     ]
 
 
+def _refused_as_malformed(history: history_lib.History) -> list[str]:
+    """Find requests refused as malformed; the callers send no such ones."""
+    return [
+        f"{call.id} got status {call.status} but is well formed"
+        for call in history.calls
+        if call.status == _BAD_REQUEST
+    ]
+
+
 def _late_responses(history: history_lib.History) -> list[str]:
     """Find requests without a response within their route's timeout.
 
     A closed connection ends the wait as well. Only a pause or kill of the entry
-    that received the request is an excuse, and the time for which the soak's
-    own loop held back what it was to pass on.
+    that received the request is an excuse, a loop that was kept busy, and the
+    time for which the soak's own loop held back what it was to pass on.
     """
     violations = []
     for call in history.calls:
@@ -211,7 +222,7 @@
             continue
         begin = call.sent_at - SETTLING_SECONDS
         if _is_fault_active(
-            history, begin, due, kinds=("entry",), index=call.entry
+            history, begin, due, kinds=("entry", "busy"), index=call.entry
         ):
             continue
         violations.append(f"{call.id} got no response within {call.timeout} s")
@@ -729,15 +740,20 @@
 
 
 def _broken_off_in_stops(history: history_lib.History) -> list[str]:
-    """Find late requests that a planned stop broke off.
+    """Find requests that were broken off around a planned stop.
 
-    Any other fault of the entry, or of the target, is an excuse.
+    Any other fault of the entry, or of the target, is an excuse; any fault is
+    one for requests that are moved to other targets.
     """
 
     def is_excused(call: history_lib.Call, target: int) -> bool:
         begin = call.sent_at - SETTLING_SECONDS
         end = (call.ended_at or call.sent_at) + RECORDING_DELAY_SECONDS
         own = ("entry", "link", "cut")
+        if call.idempotent and _is_fault_active(
+            history, begin, end, kinds=(*own, "target", "store")
+        ):
+            return True
         return _is_fault_active(
             history, begin, end, kinds=("target",), index=target
         ) or _is_fault_active(history, begin, end, kinds=own, index=call.entry)
--- a/soak/late_requests.py
+++ b/soak/late_requests.py
@@ -14,13 +14,20 @@
 
 # Requests with this prefix run for longer than a stop goes on from
 # LATE_SECONDS after its signal, and less long than their callers wait.
-LONG_PREFIX = "/report/"
+LONG_MARK = "/report"
+LONG_PREFIX = f"{LONG_MARK}/"
 LONG_SECONDS = 1.8
 LONG_TIMEOUT_SECONDS = 3.0
 # The grace period of the entries, and the time from the signal from which on a
 # request must not be broken off.
 GRACE_SECONDS = 4.0
 LATE_SECONDS = GRACE_SECONDS / 2
+# From here on a request that was sent earlier may be broken off.
+ENDING_SECONDS = GRACE_SECONDS * 5 / 6
+# How long a planned stop counts after its grace period.
+_SETTLING_SECONDS = 1.0
+# Most callers note when a request was sent once it was.
+_RECORDING_DELAY_SECONDS = 0.05
 
 _numbers = itertools.count()
 
@@ -63,10 +70,11 @@
     history: history_lib.History,
     is_excused: abc.Callable[[history_lib.Call, int], bool],
 ) -> list[str]:
-    """Find requests that a stop broke off although they were sent late.
+    """Find requests that were broken off around a planned stop of their entry.
 
     A target ran them, and their callers neither got its answer nor had waited
-    until their timeout.
+    until their timeout. One that was sent early may be broken off at the end of
+    the stop.
     """
     run_by = {
         line["id"]: _number_of(line["by"])
@@ -76,13 +84,14 @@
     violations = []
     for call in history.calls:
         target = run_by.get(call.id)
-        since = _seconds_into_stop(history, call)
-        if target is None or since is None or not _is_broken_off(call):
+        if target is None or call.ended_at is None or not _is_early(call):
             continue
-        if since >= LATE_SECONDS and not is_excused(call, target):
+        since = _seconds_into_stop(history, call, call.ended_at)
+        if since is not None and not is_excused(call, target):
             violations.append(
-                f"{call.id}, sent {since:.2f} s after the signal, was"
-                f" broken off by entry {call.entry} ({call.status})"
+                f"{call.id}, sent {since:.2f} s after the signal, was broken"
+                f" off by entry {call.entry} ({call.status}) after"
+                f" {call.ended_at - call.sent_at:.3f} s"
             )
     return violations
 
@@ -92,20 +101,29 @@
     return int("".join(filter(str.isdigit, target)))
 
 
-def _is_broken_off(call: history_lib.Call) -> bool:
+def _is_early(call: history_lib.Call) -> bool:
+    """Return whether a request ended unserved before its time had passed."""
     if call.status == 200 or call.disconnected or call.ended_at is None:
         return False
-    return call.ended_at < call.sent_at + call.timeout
+    due = call.sent_at + call.timeout
+    if not call.path.startswith(LONG_MARK):
+        due -= _RECORDING_DELAY_SECONDS
+    return call.ended_at < due
 
 
 def _seconds_into_stop(
-    history: history_lib.History, call: history_lib.Call
+    history: history_lib.History, call: history_lib.Call, ended_at: float
 ) -> float | None:
-    """Return how long its entry had been stopping when a request was sent."""
+    """Return how long its entry had been stopping when a request was sent.
+
+    None if no stop is near, or if the stop may have broken it off.
+    """
     for window in history.fault_windows:
-        seconds = call.sent_at - window.begin
+        since, until = call.sent_at - window.begin, ended_at - window.begin
         if window.kind != "stop" or window.index != call.entry:
             continue
-        if 0.0 <= seconds <= GRACE_SECONDS:
-            return seconds
+        if until < 0.0 or since > GRACE_SECONDS + _SETTLING_SECONDS:
+            continue
+        may_be_broken_off = since < LATE_SECONDS and until >= ENDING_SECONDS
+        return None if may_be_broken_off else since
     return None
--- a/soak/main.py
+++ b/soak/main.py
@@ -24,7 +24,6 @@
 from soak import workspaces
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-CALLERS = 8
 # Time between the readiness of all entries and the first request.
 _STARTUP_SECONDS = 2.0
 # Lookups that callers send at once which send nothing else, and their mean
@@ -33,8 +32,6 @@
 # Entries of the plans with two builds: one of each failure domain and another.
 _UPGRADED_ENTRIES = 4
 _PIPELINING_PAUSE_SECONDS = 0.5
-# Time without faults at the end of a run, in which the system recovers.
-_RECOVERY_SECONDS = 8.0
 
 
 def run_plan(
@@ -61,7 +58,7 @@
             tasks += await quotas.start_callers(cluster, plan.seed)
         await _inject_faults(plan, cluster)
         history.faults_over_at = time.time()
-        await curio.sleep(_RECOVERY_SECONDS)
+        await curio.sleep(plan.recovery_seconds)
         for task in tasks:
             await task.cancel()
         history.ended_at = time.time()
@@ -85,7 +82,7 @@
         callers.Caller(
             cluster, cluster.history, random.Random(f"{plan.seed}/{n}")
         )
-        for n in range(CALLERS)
+        for n in range(plan.callers)
     ]
     pipelining = [
         callers.Caller(
@@ -127,6 +124,11 @@
     return _check_plan(faults.create_plan(seed, seconds), source)
 
 
+def run_series(seed: int, entries: int, source: pathlib.Path) -> list[str]:
+    """Run a seed's plan of stops in series; return the violations."""
+    return _check_plan(faults.create_series(seed, entries), source)
+
+
 def run_upgrade(seed: int, source: pathlib.Path) -> list[str]:
     """Upgrade from the production build and back; return the violations."""
     with tempfile.TemporaryDirectory(prefix="soak-build-") as directory:
@@ -174,6 +176,11 @@
     is_flag=True,
     help="Replace the production build by this one, and back, without faults.",
 )
+@click.option(
+    "--series",
+    default=0,
+    help="Number of entries that are stopped in turn, without other faults.",
+)
 @click.option(
     "--source",
     type=click.Path(path_type=pathlib.Path),
@@ -185,19 +192,20 @@
     fresh: int,
     seconds: float,
     upgrade: bool,
+    series: int,
     source: pathlib.Path,
 ) -> None:
     """Run the soak test of SEEDS; fail if an invariant was violated."""
     drawn = [secrets.randbelow(10**9) for _ in range(fresh)]
-    failed = [
-        seed
-        for seed in (*seeds, *drawn)
-        if (
-            run_upgrade(seed, source)
-            if upgrade
-            else run_seed(seed, seconds, source)
-        )
-    ]
+    failed = []
+    for seed in (*seeds, *drawn):
+        if upgrade:
+            found = run_upgrade(seed, source)
+        elif series:
+            found = run_series(seed, series, source)
+        else:
+            found = run_seed(seed, seconds, source)
+        failed += [seed] if found else []
     print(f"{len(seeds) + fresh} soak tests, {len(failed)} failed: {failed}")
     sys.exit(1 if failed else 0)
 
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -8,6 +8,7 @@
 from soak import faults
 from soak import history as history_lib
 from soak import invariants
+from soak import payouts
 
 
 def create_call(request_id, **changes):
@@ -73,6 +74,9 @@
         ledger=[ledger_line("a", 103.0)],
     ),
     "invalid response": create_history(create_call("a", verified=False)),
+    "whole request refused as malformed": create_history(
+        create_call("a", status=400)
+    ),
     "late response": create_history(
         create_call("a", status=None, ended_at=None)
     ),
@@ -350,14 +354,15 @@
 @pytest.mark.parametrize(
     ("sent_at", "status", "is_violation"),
     [
-        (101.9, 502, False),
+        (101.9, 502, True),
         (102.1, 502, True),
         (102.1, None, True),
         (102.1, 200, False),
-        (105.0, 502, False),
+        (104.9, 502, True),
+        (105.1, 502, False),
     ],
 )
-def test_late_requests_that_a_stop_broke_off_are_found(
+def test_requests_that_a_stop_broke_off_are_found(
     sent_at, status, is_violation
 ):
     call = create_call(
@@ -371,6 +376,58 @@
     assert any("broken off" in line for line in found) == is_violation
 
 
+@pytest.mark.parametrize(
+    ("sent_at", "ended_at", "status", "is_violation"),
+    [
+        (99.0, 100.5, 502, True),
+        (99.0, 99.9, 502, False),
+        (101.0, 102.9, 504, True),
+        (101.0, 102.999, 504, True),
+        (101.0, 103.001, 504, False),
+        (101.9, 103.3, 502, True),
+        # At the end of the stop, and sent early or late.
+        (101.9, 103.4, 502, False),
+        (102.1, 103.4, 502, True),
+        (102.1, 103.4, None, True),
+        (104.9, 105.5, 502, True),
+        (105.1, 105.5, 502, False),
+    ],
+)
+def test_payouts_broken_off_around_a_stop_are_found(
+    sent_at, ended_at, status, is_violation
+):
+    call = create_call(
+        "a",
+        path=f"{payouts.PREFIX}1",
+        sent_at=sent_at,
+        ended_at=ended_at,
+        status=status,
+        timeout=payouts.TIMEOUT_SECONDS,
+    )
+    stop = history_lib.FaultWindow("stop", 0, 100.0, 106.0)
+    history = create_history(
+        call, ledger=[ledger_line("a", sent_at)], fault_windows=[stop]
+    )
+    found = invariants.find_violations(history)
+    assert any("broken off" in line for line in found) == is_violation
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_a_fault_elsewhere_excuses_requests_that_may_be_moved(idempotent):
+    call = create_call(
+        "a", idempotent=idempotent, sent_at=101.0, ended_at=101.5, status=502
+    )
+    windows = [
+        history_lib.FaultWindow("stop", 0, 100.0, 106.0),
+        history_lib.FaultWindow("target", 1, 101.0, 102.0),
+    ]
+    history = create_history(
+        call, ledger=[ledger_line("a", 101.0)], fault_windows=windows
+    )
+    found = invariants.find_violations(history)
+    assert any("broken off" in line for line in found) != idempotent
+
+
 def test_only_faults_of_the_entry_or_target_excuse_a_request_broken_off():
     call = create_call(
         "a", sent_at=102.1, ended_at=103.5, status=502, timeout=3
