Let the soak's late payouts meet slow targets while entries are busy

SIGTERM could also come before the entry read its slow settings, as the soak's own loop is late at times; the soak then waited for a reader of the pipe without end (once). The order is kept now, and a start replaces the pipe.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -235,6 +235,8 @@
     def start_entry(self, entry: Entry) -> None:
         """Start the process of an entry, without waiting until it is ready."""
         path = self.directory / f"entry-{entry.number}.json"
+        # It may be a pipe that nobody reads any more.
+        path.unlink(missing_ok=True)
         path.write_text(json.dumps(entry.settings))
         log = (self.directory / f"entry-{entry.number}.log").open("ab")
         command = [sys.executable, "-m", "agateshelf.daemon.main"]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -558,7 +558,8 @@
 PAYOUTS = (20, 30)
 BUSY_SHARE = 0.4
 SERIES_TARGETS = 8
-WORK_MS = (100.0, 1500.0, 1850.0, 2600.0)
+SERIES_SLOTS = 12
+WORK_MS = (500.0, 1850.0, 2600.0, 2600.0)
 # Share of the plans with workspaces in which one more has a quota, and of these
 # in which the quota is lowered.
 QUOTA_SHARE = 0.8
@@ -846,8 +847,9 @@
         timed += [(at, stop), (rng.uniform(at, at + 4.0), HangUp(entry, 2))]
     for target in range(1, targets, 2):
         work = WORK_MS[target // 2 % len(WORK_MS)]
-        change = ChangeTarget(target, seconds, "long_ms", work, work)
-        timed.append((0.0, change))
+        for option, value in (("long_ms", work), ("slots", SERIES_SLOTS)):
+            change = ChangeTarget(target, seconds, option, value, value)
+            timed.append((0.0, change))
     for _ in range(round(seconds / 2)):
         reset = BreakLink("target", 1, Mode.RESET, rng.uniform(0.0, 0.2))
         timed.append((rng.uniform(0.0, seconds), reset))
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -59,7 +59,6 @@
             entry = cluster.entries[fault.entry]
             async with curio.TaskGroup() as group:
                 await payouts.spawn(cluster, fault, group)
-                await curio.sleep(payouts.LEAD_SECONDS)
                 await _stop_entry(cluster, entry, 0.0, entry.source)
         case faults.ReplaceEntries():
             for is_earlier in fault.rounds:
@@ -424,8 +423,8 @@
         await _try_option(process, fault.option, value)
         if value == fault.value:
             await curio.sleep(fault.seconds)
-    # A target that works for long is no fault.
-    if fault.option != "long_ms":
+    # What a target works for and on at once is no fault.
+    if fault.option not in ("long_ms", "slots"):
         cluster.add_fault_window(kind, index, begin)
 
 
--- a/soak/payouts.py
+++ b/soak/payouts.py
@@ -39,12 +39,16 @@
 async def spawn(
     cluster: Any, fault: faults.StopInSeries, group: curio.TaskGroup
 ) -> None:
-    """Start what happens around a stop that begins after LEAD_SECONDS."""
+    """Start what happens around a stop, and return when SIGTERM is due."""
     entry = cluster.entries[fault.entry]
     rng = random.Random(repr(fault))
     for _ in range(fault.payouts):
         opens_at = rng.uniform(0.0, LEAD_SECONDS + late_requests.LATE_SECONDS)
         waits = rng.uniform(0.0, _MAX_WAIT_SECONDS)
+        if fault.busy_seconds:
+            # Requests count as late too late if the times of the stop are.
+            used_at = late_requests.LATE_SECONDS + fault.busy_seconds / 2
+            waits = LEAD_SECONDS + used_at - opens_at - rng.uniform(0.0, 0.2)
         if rng.random() >= _WAITING_SHARE:
             waits = 0.0
         has_further = rng.random() < _FURTHER_SHARE
@@ -53,8 +57,17 @@
             _use, cluster, entry, opens_at, waits, held, has_further
         )
     await group.spawn(_stop_again, entry.popen, LEAD_SECONDS + fault.again_at)
+    await curio.sleep(LEAD_SECONDS)
     if fault.busy_seconds:
-        await group.spawn(_keep_busy, cluster, entry, fault.busy_seconds)
+        path = cluster.directory / f"entry-{entry.number}.json"
+        document = path.read_bytes()
+        path.unlink()
+        os.mkfifo(path)
+        entry.popen.send_signal(signal.SIGHUP)
+        await group.spawn(
+            _free, cluster, entry.number, path, document, fault.busy_seconds
+        )
+        await curio.sleep(_RELOAD_SECONDS)
 
 
 async def _use(
@@ -124,20 +137,20 @@
         popen.send_signal(signal.SIGTERM)
 
 
-async def _keep_busy(cluster: Any, entry: Any, seconds: float) -> None:
-    """Let an entry read its settings slowly, from before the signal on."""
-    path = cluster.directory / f"entry-{entry.number}.json"
-    document = path.read_bytes()
-    await curio.sleep(LEAD_SECONDS - _RELOAD_SECONDS)
+async def _free(
+    cluster: Any,
+    entry: int,
+    path: pathlib.Path,
+    document: bytes,
+    seconds: float,
+) -> None:
+    """Let an entry that reads its settings from a pipe go on later."""
     begin = time.time()
-    path.unlink()
-    os.mkfifo(path)
-    entry.popen.send_signal(signal.SIGHUP)
     await curio.sleep(_RELOAD_SECONDS + seconds)
     _write_to_reader(path, document)
     path.unlink()
     path.write_bytes(document)
-    cluster.add_fault_window("busy", entry.number, begin)
+    cluster.add_fault_window("busy", entry, begin)
 
 
 def _write_to_reader(path: pathlib.Path, document: bytes) -> None:
