--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -18,6 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SEEDS = (9, 7, 8, 1, 2, 3, 5, 11, 802)
 SECONDS = 12.0
+SERIES_ENTRIES = 4
 _CORE = "agateshelf/core"
 
 
@@ -45,11 +46,13 @@
             line.
         expected_text: Text of the violation that the soak must report.
         edits: Changes of the sources, in order.
+        is_series: Whether the soak runs its plan of stops in series.
     """
 
     invariant: str
     expected_text: str
     edits: tuple[Edit, ...]
+    is_series: bool = False
 
 
 MUTATIONS = (
@@ -126,6 +129,60 @@
             ),
         ),
     ),
+    Mutation(
+        "late-requests-in-series",
+        "was broken off",
+        (
+            Edit(
+                f"{_CORE}/stopping/admission.py",
+                "return now >= state.stop.late_from and may_outlast("
+                "state, deadline)",
+                "return False",
+            ),
+            Edit(
+                f"{_CORE}/stopping/admission.py",
+                "return min(deadline, state.stop.ends_at)",
+                "return deadline",
+            ),
+        ),
+        is_series=True,
+    ),
+    Mutation(
+        "times-from-the-signal",
+        "was broken off",
+        (
+            Edit(
+                "agateshelf/daemon/stopping.py",
+                "elapsed = stop_signals.seconds_since_stop()",
+                "elapsed = 0.0",
+            ),
+        ),
+        is_series=True,
+    ),
+    Mutation(
+        "bodies-cut-short",
+        "is well formed",
+        (
+            Edit(
+                "agateshelf/daemon/callers/reading.py",
+                "if conn.read_shut:",
+                "if False:",
+            ),
+        ),
+        is_series=True,
+    ),
+    Mutation(
+        "signals-in-stops",
+        "was broken off",
+        (
+            Edit(
+                "agateshelf/daemon/main.py",
+                "return stopping.STOP_SIGNALS - {signal.SIGTERM}",
+                "return stopping.STOP_SIGNALS",
+            ),
+        ),
+        is_series=True,
+    ),
     Mutation(
         "draining",
         "which was draining",
@@ -405,7 +462,10 @@
                 )
             path.write_text(text.replace(edit.old, edit.new, 1))
         for seed in SEEDS:
-            lines = soak.run_seed(seed, SECONDS, source)
+            if mutation.is_series:
+                lines = soak.run_series(seed, SERIES_ENTRIES, source)
+            else:
+                lines = soak.run_seed(seed, SECONDS, source)
             if any(mutation.expected_text in line for line in lines):
                 return seed
     return None
