Let the sabotage of route timeouts match the relays' rule

 moved the text that the edit replaces; it takes out the route's timeout as before. test_the_text_that_an_edit_replaces_is_in_the_source failed for it.

--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -96,8 +96,9 @@
         (
             Edit(
                 f"{_CORE}/forwarding/arrivals.py",
-                "deadline=now - counted + min(timeout, route.timeout)",
-                "deadline=now - counted + timeout",
+                "return timeout if event.relay_target else "
+                "min(timeout, route.timeout)",
+                "return timeout",
             ),
         ),
     ),
