--- a/src/agateshelf/daemon/peers/readiness.py
+++ b/src/agateshelf/daemon/peers/readiness.py
@@ -9,22 +9,8 @@
 import zmq
 
 
-def is_readable(sock: "zmq.Socket[bytes]") -> bool:
-    """Return whether a message can be received from a socket."""
-    return bool(int(sock.getsockopt(zmq.EVENTS)) & zmq.POLLIN)
-
-
-async def wait_changed(sock: "zmq.Socket[bytes]") -> None:
-    """Wait until the state of a socket changes after `is_readable`.
-
-    The event loop gets the socket, not its file descriptor: a descriptor is
-    unregistered after each wait, an object only when its task waits for
-    something else.
-    """
-    await traps._read_wait(sock)  # noqa: SLF001
-
-
 async def wait_readable(sock: "zmq.Socket[bytes]") -> None:
     """Wait until a message can be received from a socket."""
-    while not is_readable(sock):
-        await wait_changed(sock)
+    descriptor = sock.fileno()
+    while not int(sock.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
+        await traps._read_wait(descriptor)  # noqa: SLF001
--- a/src/agateshelf/daemon/peers/transport.py
+++ b/src/agateshelf/daemon/peers/transport.py
@@ -201,23 +201,18 @@
             if self.authenticator is not None:
                 await group.spawn(self.authenticator.run)
             while True:
-                if await self._receive_batch(post):
-                    # Yield, so that a flood can't occupy the event loop.
-                    await curio.sleep(0)
-                else:
-                    await readiness.wait_changed(self.inbound)
-
-    async def _receive_batch(self, post: posting.Post) -> bool:
-        """Post what has been received; return whether there may be more."""
+                await readiness.wait_readable(self.inbound)
+                await self._receive_batch(post)
+
+    async def _receive_batch(self, post: posting.Post) -> None:
         with contextlib.suppress(zmq.Again):
             for _ in range(const.RECEIVE_BATCH_MESSAGES):
-                if not readiness.is_readable(self.inbound):
-                    return False
                 frames = self.inbound.recv_multipart(zmq.NOBLOCK)
                 event = self._to_event(frames)
                 if event is not None:
                     await post(event)
-        return True
+        # Yield to other tasks, so that a flood can't occupy the event loop.
+        await curio.sleep(0)
 
     def _to_event(
         self, frames: list[bytes]
