Move no attempt in a stop that may be refused then

Slow targets had been taken for a cut, so that the entry ended the attempts to try again elsewhere, and then had no time left for that.

An attempt is now moved in a stop only if its request must end before the stop does. Why the probes took slow targets for a cut is not traced.

--- a/src/agateshelf/core/forwarding/completion.py
+++ b/src/agateshelf/core/forwarding/completion.py
@@ -23,6 +23,7 @@
 from agateshelf.core.reach import detection
 from agateshelf.core.reach import relays
 from agateshelf.core.regions import lookup as regions
+from agateshelf.core.stopping import admission as stop_admission
 from agateshelf.core.target_notices import records as notice_records
 from agateshelf.core.target_notices import spreading
 from agateshelf.core.workspaces import checking as workspace_checks
@@ -361,7 +362,8 @@
     """Move the attempts on that a cut leaves without an answer.
 
     Those of which nothing was sent are cancelled, and then relayed. Idempotent
-    requests are tried again. The answer to any other may still come.
+    requests are tried again, unless this entry stops and may refuse them then.
+    The answer to any other may still come.
     """
     if not event.is_cut:
         return []
@@ -377,6 +379,8 @@
         emitted.append(effects.AbortUnsentAttempts(attempt.target))
         if not call.route.idempotent or call.attempts != {attempt.number}:
             continue
+        if stop_admission.may_outlast(state, call.deadline):
+            continue
         if attempt.number in state.forwarding.streaming or call.relayed_for:
             continue
         emitted.extend(_retry_elsewhere(state, now, call))
--- a/tests/core/reach/test_relays.py
+++ b/tests/core/reach/test_relays.py
@@ -353,3 +353,34 @@
     assert moved
     assert f"r{call}" not in [note.request_id for note in moved]
     assert fleet.served(lookups) > 0.8 * len(lookups)
+
+
+@pytest.mark.parametrize("stops", [False, True])
+def test_a_stop_moves_no_lookup_that_it_may_refuse_then(stops):
+    # Slow targets were taken for a cut in a stop, and lookups told 502.
+    fleet = CutFleet(silent=True)
+    fleet.change(
+        table=routed_fleet.create_table(
+            2, routed_fleet.create_route(timeout=8.0)
+        )
+    )
+    fleet.run_for(0.5)
+    name = next(iter(fleet.nodes))
+    node = fleet.nodes[name]
+    if stops:
+        fleet.post(node, events.StopRequested(5.28))
+    fleet.run_for(1.0)
+    fleet.run_seconds = 4.0
+    call = fleet.request(name, timeout=8.0)
+    fleet.run_for(0.1)
+    fleet.run_seconds = 0.1
+    fleet.cut = {name}
+    fleet.send_for(3.0, [name])
+    assert "reach.lost" in [note.event for _, note in node.notes]
+    moved = [
+        note.request_id
+        for _, note in node.notes
+        if note.event == "attempt.ended"
+        and dict(note.details)["cause"] == "moved"
+    ]
+    assert (f"r{call}" in moved) is not stops
