--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -221,6 +221,7 @@
             )
         if clock.now() > running.effect.not_after:
             raise attempts.TooLateError
+        conn.limit_unacknowledged(_unacknowledged_limit(running, data))
         running.stage = attempts.Stage.SENDING
         sender = await _send(conn, data)
         try:
@@ -343,6 +344,19 @@
         return True
 
 
+def _unacknowledged_limit(
+    running: attempts.RunningAttempt, data: bytes
+) -> float | None:
+    """Return how many seconds a request may stay unacknowledged; None if usual.
+
+    Taking a silent connection for dead helps only what can be sent again, and
+    a target may be at work before it has read a large body.
+    """
+    if running.effect.fresh or len(data) > _INLINE_SEND_BYTES:
+        return running.effect.timeout
+    return None
+
+
 def _end_of(running: attempts.RunningAttempt) -> pool.Opening:
     """Return how the connection of an attempt without an answer ended."""
     if running.interruption is None:
--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -32,6 +32,7 @@
 _MAX_REFUSED = 32
 # Limit for unacknowledged bytes; a round trip takes some milliseconds.
 _USER_TIMEOUT_MS = 1000
+_MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -49,6 +50,7 @@
         interrupted: Whether it was shut down by `interrupt`.
         idle_seconds: Time for which it may be idle, by what the target says.
         refused: Identifiers of the requests that were refused on it.
+        user_timeout_ms: Limit for unacknowledged bytes, in milliseconds.
         turn: Lets other tasks run while a fast target sends.
     """
 
@@ -61,6 +63,7 @@
     interrupted: bool = False
     idle_seconds: float = math.inf
     refused: set[bytes] = dataclasses.field(default_factory=set)
+    user_timeout_ms: int = _USER_TIMEOUT_MS
     turn: fairness.Turn = dataclasses.field(default_factory=fairness.Turn)
 
     async def connect(self) -> None:
@@ -75,6 +78,22 @@
         except (OverflowError, ValueError) as exc:
             raise OSError(f"invalid address {self.address!r}: {exc}") from None
 
+    def limit_unacknowledged(self, seconds: float | None) -> None:
+        """Limit how long sent bytes may stay unacknowledged.
+
+        The limit also ends connections whose peer is alive and doesn't read, as
+        its window stays closed.
+
+        Args:
+            seconds: The limit; None for the usual one.
+        """
+        limit = _USER_TIMEOUT_MS
+        if seconds is not None:
+            limit = max(limit, math.ceil(seconds * _MILLISECONDS_PER_SECOND))
+        if limit != self.user_timeout_ms:
+            set_user_timeout(self.sock, limit)
+            self.user_timeout_ms = limit
+
     async def send(self, data: bytes) -> None:
         """Send bytes.
 
