--- a/soak/payouts.py
+++ b/soak/payouts.py
@@ -65,7 +65,7 @@
         os.mkfifo(path)
         entry.popen.send_signal(signal.SIGHUP)
         await group.spawn(
-            _free, cluster, entry.number, path, document, fault.busy_seconds
+            _unblock, cluster, entry.number, path, document, fault.busy_seconds
         )
         await curio.sleep(_RELOAD_SECONDS)
 
@@ -137,7 +137,7 @@
         popen.send_signal(signal.SIGTERM)
 
 
-async def _free(
+async def _unblock(
     cluster: Any,
     entry: int,
     path: pathlib.Path,
--- a/src/agateshelf/core/forwarding/arrivals.py
+++ b/src/agateshelf/core/forwarding/arrivals.py
@@ -171,8 +171,8 @@
 ) -> models.Call:
     timeout = event.timeout or route.timeout
     arrived = now - event.waited
-    # It may as well have come at the end of that time.
-    counted = max(0.0, event.waited - const.MAX_UNCERTAIN_SECONDS)
+    # The time that it may have waited is a bound; it may have come at its end.
+    counted_wait = max(0.0, event.waited - const.MAX_UNCERTAIN_SECONDS)
     return models.Call(
         number=event.call,
         request_id=event.request_id,
@@ -182,7 +182,7 @@
         caller=event.caller,
         arrived=arrived,
         soft_deadline=arrived + _soft_timeout(state.routes, route, timeout),
-        deadline=now - counted + _time_limit(event, route, timeout),
+        deadline=now - counted_wait + _time_limit(event, route, timeout),
         key_digest=event.key_digest,
     )
 
