Keep the ports of a system from others while its entries restart

Each process that started entries drew a random first port of 12,000 and walked on from there, so that it also took ports of another run whose process was down for a restart; the process that came back could then not bind its port. Whether this is what failed is not known. Ports now come from blocks that a process claims with a bound socket and keeps until it exits.

The test fails before: both processes handed out the same 100 ports.

--- a/src/agateshelf_standins/system.py
+++ b/src/agateshelf_standins/system.py
@@ -35,8 +35,9 @@
 _POLL_SECONDS = 0.02
 # Below the ports that Linux assigns to outgoing connections by default, which
 # start at 32768.
-_FIRST_PORT = 20_000
-_PORT_COUNT = 12_000
+_FIRST_PORT = 12_000
+_BLOCK_PORTS = 500
+_BLOCKS = 40
 
 
 class StartError(Exception):
@@ -44,12 +45,26 @@
 
 
 def _iterate_ports() -> Iterator[int]:
-    """Yield each port once, from a random one: parallel runs rarely collide."""
-    first = secrets.randbelow(_PORT_COUNT)
-    for number in range(first, first + _PORT_COUNT):
-        yield _FIRST_PORT + number % _PORT_COUNT
+    """Yield ports from blocks that no other process takes ports from.
+
+    A port stays with its system while the process that listens on it is down
+    for a restart.
+    """
+    start = secrets.randbelow(_BLOCKS)
+    for number in range(start, start + _BLOCKS):
+        first = _FIRST_PORT + number % _BLOCKS * _BLOCK_PORTS
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", first))
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        yield from range(first + 1, first + _BLOCK_PORTS)
 
 
+# Sockets bound to the first port of each block that this process has claimed.
+_claims: list[socket.socket] = []
 _ports = _iterate_ports()
 
 
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -323,3 +323,25 @@
     ports = [system.free_port() for _ in range(300)]
     assert len(set(ports)) == 300
     assert max(ports) < 32_768
+
+
+def test_processes_hand_out_different_ports():
+    # Guards against a port that another run takes while the entry that listens
+    # on it is down for a restart: the entry then exits with status 1.
+    code = (
+        "import secrets\n"
+        "secrets.randbelow = lambda bound: 0\n"
+        "from agateshelf_standins import system\n"
+        "print([system.free_port() for _ in range(100)], flush=True)\n"
+        "input()\n"
+    )
+    command = [sys.executable, "-c", code]
+    pipes = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE, "text": True}
+    with (
+        subprocess.Popen(command, **pipes) as one,
+        subprocess.Popen(command, **pipes) as other,
+    ):
+        taken = [set(json.loads(run.stdout.readline())) for run in (one, other)]
+        for run in (one, other):
+            run.communicate("\n")
+    assert not taken[0] & taken[1]
