Report an entry that exits by itself with the last line of its log

The soak said only that an entry exited with status 1, and waited 15 s for its readiness. It now ends that wait at once and names the last line that the entry wrote.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -251,6 +251,11 @@
             )
         entry.down = False
 
+    def last_line_of(self, entry: Entry) -> str:
+        """Return the last line that an entry wrote; empty if there is none."""
+        log = self.directory / f"entry-{entry.number}.log"
+        return (log.read_text(errors="replace").splitlines() or [""])[-1]
+
     async def stop(self) -> None:
         """Stop all links, and kill all processes."""
         for entry in self.entries:
@@ -433,11 +438,16 @@
     """Wait until an entry is ready.
 
     Raises:
-        system.StartError: It is not ready in time.
+        system.StartError: It exits, or is not ready in time.
     """
     end = time.monotonic() + _READY_SECONDS
     ready = entry.settings["readiness"]["address"]
     while time.monotonic() < end:
+        if entry.popen is not None and entry.popen.poll() is not None:
+            raise system.StartError(
+                f"entry {entry.number} exited with status"
+                f" {entry.popen.returncode} before it was ready"
+            )
         try:
             status, _ = await curio.run_in_thread(
                 system.request, ready, "GET", "/ready"
--- a/soak/main.py
+++ b/soak/main.py
@@ -115,7 +115,8 @@
         if entry.popen is not None and entry.popen.poll() is not None:
             cluster.history.exit_errors.append(
                 f"entry {entry.number} exited unexpectedly,"
-                f" with status {entry.popen.returncode}"
+                f" with status {entry.popen.returncode}:"
+                f" {cluster.last_line_of(entry)}"
             )
 
 
