Tell neighbours of the targets that a restarted reader can't know

Requests ran on targets that had left: a reader that is killed and back within its neighbours' patience reads a list without them, knows of no removal, and its answer to a neighbour only added what was missing there. The neighbour used the target until it read the store itself, in a failure domain of two without other domains for ever.

An entry now knows since which position it has seen all removals. Its answer to a request from before that, and to one for everything, names all targets that it knows; the receiver takes what is not among them for removed, and defers that as it defers removals that it reads itself. Answers across a restored store take nothing away.

--- a/src/agateshelf/core/directory/handling.py
+++ b/src/agateshelf/core/directory/handling.py
@@ -32,12 +32,39 @@
     """Return the items of a full read, and removals for what it lacks."""
     items = list(items)
     present = {item.id for item in items}
-    missing = [
+    return [*items, *missing_from(directory, revision, present)]
+
+
+def missing_from(
+    directory: models.DirectoryState,
+    revision: int,
+    present: abc.Container[str],
+) -> list[models.Removal]:
+    """Return removals for what was not registered at a position any more."""
+    return [
         models.Removal(known.id, revision)
         for known in directory.targets.values()
         if known.id not in present and known.revision <= revision
     ]
-    return [*items, *missing]
+
+
+def note_complete(directory: models.DirectoryState, revision: int) -> None:
+    """Note up to which position the directory is complete now.
+
+    What was removed before the first one is not known here.
+    """
+    if not directory.revision:
+        directory.removals_since = revision
+    directory.revision = max(directory.revision, revision)
+
+
+def registered(
+    directory: models.DirectoryState, after: int
+) -> tuple[str, ...] | None:
+    """Return all targets; None if each removal after a position is known."""
+    if after and after >= directory.removals_since:
+        return None
+    return tuple(directory.targets)
 
 
 def _adopt_one(directory: models.DirectoryState, item: models.Item) -> bool:
@@ -61,10 +88,15 @@
             directory.removed.pop(item.id, None)
             directory.removed[item.id] = _removed(before, renewal, item)
             if len(directory.removed) > _MAX_REMOVED:
-                del directory.removed[next(iter(directory.removed))]
+                _forget_removal(directory, next(iter(directory.removed)))
     return True
 
 
+def _forget_removal(directory: models.DirectoryState, target: str) -> None:
+    forgotten = directory.removed.pop(target)
+    directory.removals_since = max(directory.removals_since, forgotten.revision)
+
+
 def content_of(registration: models.Registration) -> tuple[object, ...]:
     """Return what a registration says, apart from its warm-up."""
     return (
--- a/src/agateshelf/core/directory/models.py
+++ b/src/agateshelf/core/directory/models.py
@@ -91,6 +91,7 @@
             of a set would differ between processes.
         removed: Removed targets by identifier, the latest removal last.
         revision: Position up to which the directory is complete.
+        removals_since: Position after which all removals are known here.
         renewals: Latest heartbeats by target, of those that were read here.
         cold_until: Time until which registrations say that targets are cold.
         digest: Digest of what the registrations say, independent of order.
@@ -103,6 +104,7 @@
     )
     removed: dict[str, RemovedTarget] = dataclasses.field(default_factory=dict)
     revision: int = 0
+    removals_since: int = 0
     renewals: dict[str, Renewal] = dataclasses.field(default_factory=dict)
     cold_until: dict[str, float] = dataclasses.field(default_factory=dict)
     digest: int = 0
--- a/src/agateshelf/core/feed/comparison.py
+++ b/src/agateshelf/core/feed/comparison.py
@@ -8,6 +8,7 @@
 import math
 
 from agateshelf.core import state as core_state
+from agateshelf.core.directory import handling as directory
 from agateshelf.core.feed import const
 from agateshelf.core.feed import messages
 
@@ -29,7 +30,7 @@
     if heartbeat.revision <= state.directory.revision:
         return False
     if heartbeat.digest and heartbeat.digest == digest(state):
-        state.directory.revision = heartbeat.revision
+        directory.note_complete(state.directory, heartbeat.revision)
         return False
     return True
 
--- a/src/agateshelf/core/feed/messages.py
+++ b/src/agateshelf/core/feed/messages.py
@@ -76,6 +76,8 @@
             known, so that the answer proves nothing.
         change_age: Greatest age that the changes can have, in seconds; None if
             it is not known.
+        registered: Identifiers of all targets that the sender knows; None if
+            `removals` has each that was removed after `base_revision`.
     """
 
     wire_name: ClassVar[str] = "FeedNews"
@@ -94,3 +96,4 @@
     proof_version: int = 0
     proof_at: int = 0
     change_age: float | None = None
+    registered: tuple[str, ...] | None = None
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -440,7 +440,7 @@
             made.
     """
     changed = adoption.adopt_targets(state, now, items)
-    state.directory.revision = max(state.directory.revision, revision)
+    directory.note_complete(state.directory, revision)
     age = freshness.age_of(made_after, now)
     emitted = adoption.publish_changes(state, changed, source, age)
     emitted.extend(relaying.relay(state, None, tuple(changed), age))
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -7,6 +7,7 @@
 from agateshelf.core import effects
 from agateshelf.core import positions
 from agateshelf.core import state as core_state
+from agateshelf.core.directory import handling as directory
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.directory import renewals
 from agateshelf.core.evacuation import handling as evacuation
@@ -18,6 +19,7 @@
 from agateshelf.core.feed import models
 from agateshelf.core.feed import outages
 from agateshelf.core.feed import proof
+from agateshelf.core.feed import removals
 from agateshelf.core.feed import updates
 from agateshelf.core.membership import view
 from agateshelf.core.peers import models as peer_models
@@ -336,7 +338,7 @@
     table = state.routes.table
     if table is not None and not _lacks(request, table):
         table = None
-    targets, removals = renewals.changed_since(
+    targets, removed = renewals.changed_since(
         state.directory, now, request.revision
     )
     update = messages.FeedUpdate(
@@ -345,12 +347,13 @@
         base_revision=request.revision,
         table=table,
         targets=targets,
-        removals=removals,
+        removals=removed,
         evacuations=_evacuations_after(state, request.evacuations_at),
         token=request.token,
         proof_age=proof.age_of(state, now) if request.token else None,
         proof_version=routes_version(state),
         proof_at=_routes_at(state),
+        registered=directory.registered(state.directory, request.revision),
     )
     return send([peer], update)
 
@@ -389,7 +392,9 @@
             state.directory, now, items, feed.deferred_removals
         )
     )
-    changed = adoption.adopt_targets(state, now, items)
+    missing, held = _missing(state, now, update)
+    emitted.extend(held)
+    changed = adoption.adopt_targets(state, now, (*items, *missing))
     emitted.extend(
         adoption.publish_changes(
             state, changed, const.SOURCE_PEER, update.change_age
@@ -403,7 +408,7 @@
         emitted.extend([] if news is None else send(neighbours(state), news))
     if update.base_revision > state.directory.revision:
         return [*emitted, *send([peer], create_request(state))]
-    state.directory.revision = max(state.directory.revision, update.revision)
+    directory.note_complete(state.directory, update.revision)
     if changed:
         # Not relayed as the reader: neighbours that lack it must ask.
         feed.relayed_at = state.directory.revision
@@ -414,6 +419,23 @@
     return emitted
 
 
+def _missing(
+    state: core_state.State, now: float, update: messages.FeedUpdate
+) -> tuple[list[directory_models.Item], Effects]:
+    """Return removals that a peer doesn't know itself, and log lines.
+
+    One that has just started knows no target that was removed before, while
+    this entry may still use it. A store that came back from an older copy lacks
+    targets until they register again.
+    """
+    era = positions.era_of(state.directory.revision)
+    if update.registered is None or positions.era_of(update.revision) != era:
+        return [], []
+    present = {*update.registered, *state.feed.deferred_removals}
+    missing = directory.missing_from(state.directory, update.revision, present)
+    return removals.defer(state, now, [*missing], state.feed.synced_at)
+
+
 def _adopt_table(
     state: core_state.State, table: route_models.RouteTable | None
 ) -> Effects:
--- a/src/agateshelf/core/feed/updates.py
+++ b/src/agateshelf/core/feed/updates.py
@@ -55,4 +55,5 @@
         token=0,
         proof_age=None,
         proof_at=0,
+        registered=None,
     )
--- a/tests/core/feed/test_removals_in_time.py
+++ b/tests/core/feed/test_removals_in_time.py
@@ -11,6 +11,7 @@
 from tests.core import routed_fleet
 
 from agateshelf.core import events
+from agateshelf.core.directory import handling
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.feed import models
 
@@ -248,6 +249,41 @@
     assert time_in_force(fleet, names) <= 1.0
 
 
+@pytest.mark.parametrize("down", [0.3, 0.5, 0.8])
+@pytest.mark.parametrize("away", [1.5, 3.0])
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_a_removal_that_a_reader_missed_while_down_reaches_its_neighbour(
+    down, away, seed
+):
+    # The reader comes back without a trace of the target that has left, and
+    # its neighbour can't ask the store: it used the target without end.
+    fleet = create_fleet(seed, ("boston",) * 2)
+    lost = readers(fleet)[0]
+    other = next(node for node in fleet.nodes.values() if node.name != lost)
+    fleet.kill(lost)
+    other.store_silent = True
+    fleet.at(fleet.now + away, setattr, other, "store_silent", False)
+    fleet.at(fleet.now + down, fleet.restart, lost)
+    fleet.run_for(0.05)
+    names = remove(fleet, 1)
+    in_time = away + STABLE_SECONDS - WAY_SECONDS
+    assert time_in_force(fleet, names, in_time + 2.0) <= in_time
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_registrations_anew_from_a_reader_take_away_what_has_left(seed):
+    # Guards against an update with all registrations that only adds some.
+    fleet = create_fleet(seed, ("boston",) * 3)
+    other = next(
+        node for node in fleet.nodes.values() if not node.state.feed.is_reader
+    )
+    gone = routed_fleet.create_target("gone", revision=5)
+    handling.adopt(other.state.directory, [gone])
+    fleet.run_for(3.5)
+    assert "gone" not in other.state.directory.targets
+    assert set(other.state.directory.targets) == set(fleet.items)
+
+
 def test_a_shorter_drain_time_binds_as_well():
     fleet = create_fleet(1)
     for node in fleet.nodes.values():
