Keep targets that a restarted entry lacks while the store may be away

Cause: an answer with all registered targets took all others away, also at an entry that hasn't heard from the store for so long that registrations can have expired. Such an entry asks other failure domains; one there that has just started reads a store without the targets that haven't registered again yet. No outage was noted where the answer arrived, and the time by which a removal must be in force counts from when the entry was last current, so that nothing was deferred: all targets were taken away at once, though they ran.

Change: nothing is taken away by such an answer while nothing was heard from the store for the shortest outage in which a registration can expire. The entry's own read, or a heartbeat of a reader, notes the end of the outage, and removals are deferred from then on as before.

--- a/src/agateshelf/core/feed/outages.py
+++ b/src/agateshelf/core/feed/outages.py
@@ -75,6 +75,11 @@
     feed.return_request = 0
 
 
+def may_be_away(state: core_state.State, now: float) -> bool:
+    """Return whether registrations can have expired that are not back yet."""
+    return now - state.feed.store_heard_at >= shortest_outage(state)
+
+
 def shortest_outage(state: core_state.State) -> float:
     """Return the seconds of an outage in which a registration can expire.
 
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -426,8 +426,11 @@
 
     One that has just started knows no target that was removed before, while
     this entry may still use it. A store that came back from an older copy lacks
-    targets until they register again.
+    targets until they register again. So does one that came back from an outage
+    that this entry doesn't know to have ended.
     """
+    if outages.may_be_away(state, now):
+        return [], []
     era = positions.era_of(state.directory.revision)
     if update.registered is None or positions.era_of(update.revision) != era:
         return [], []
--- a/tests/core/feed/test_removals_in_time.py
+++ b/tests/core/feed/test_removals_in_time.py
@@ -284,6 +284,32 @@
     assert set(other.state.directory.targets) == set(fleet.items)
 
 
+@pytest.mark.parametrize("longer", [0.3, 1.0])
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_an_entry_without_store_keeps_what_one_that_started_does_not_know(
+    longer, seed
+):
+    # The others start as the store comes back, when all registrations have
+    # expired, and are asked by entries that the store answers later.
+    fleet = create_fleet(seed, ("boston", "boston", "hartford", "hartford"))
+    items = dict(fleet.items)
+    nodes = list(fleet.nodes.values())
+    for node in nodes[2:]:
+        fleet.kill(node.name)
+    fleet.at(fleet.now + 4.8, remove, fleet, TARGETS)
+    outage(fleet, 5.0)
+    for node in nodes[:2]:
+        node.store_silent = True
+        fleet.at(fleet.now + longer, setattr, node, "store_silent", False)
+    for node in nodes[2:]:
+        fleet.at(fleet.now + 0.02, fleet.restart, node.name)
+    fleet.at(fleet.now + 1.5, fleet.change, *items.values())
+    for _ in range(100):
+        fleet.run_for(0.05)
+        for node in nodes[:2]:
+            assert set(node.state.directory.targets) == set(items)
+
+
 def test_a_shorter_drain_time_binds_as_well():
     fleet = create_fleet(1)
     for node in fleet.nodes.values():
