--- a/tests/core/feed/test_removals_in_time.py
+++ b/tests/core/feed/test_removals_in_time.py
@@ -13,6 +13,7 @@
 from agateshelf.core import events
 from agateshelf.core.directory import handling
 from agateshelf.core.directory import models as directory_models
+from agateshelf.core.feed import messages
 from agateshelf.core.feed import models
 
 # A removal that took force by then leaves time for a request on its way.
@@ -310,6 +311,30 @@
             assert set(node.state.directory.targets) == set(items)
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_the_first_update_of_a_reader_has_what_it_knew_before(seed):
+    # One that lacks a target, and takes itself for complete, has others take
+    # it away.
+    fleet = routed_fleet.RoutedFleet(("boston",) * 2, seed)
+    fleet.items = {f"t{n}": routed_fleet.create_target(f"t{n}") for n in "123"}
+    reader, other = fleet.nodes.values()
+    reader.store_silent = other.store_silent = True
+    fleet.start()
+    fleet.run_for(3.0)
+    other.partitioned = True
+    known = messages.FeedUpdate(
+        revision=5, age=0.0, base_revision=4, targets=(fleet.items["t1"],)
+    )
+    fleet.post(reader, events.PeerMessageReceived("10.0.0.9:7000", known))
+    reader.store_silent = False
+    while not reader.state.directory.revision:
+        fleet.run_for(0.001)
+    other.partitioned = False
+    fleet.run_for(0.01)
+    assert other.state.directory.revision == reader.state.directory.revision
+    assert set(other.state.directory.targets) == set(fleet.items)
+
+
 def test_a_shorter_drain_time_binds_as_well():
     fleet = create_fleet(1)
     for node in fleet.nodes.values():
