End a silent stream whose caller has left after the idle timeout

Change: each idle timeout without a byte of the target the stream looks whether its caller has left, and ends if so. Nothing changes for other callers. One that has closed its sending side alone counts as one that left, as in other waits.

The three tests of pauses still pass, as do tests/daemon/callers and the daemon's tests of routes, of cut and late answers, of blocked output and of relayed deadlines.

--- a/src/agateshelf/daemon/callers/writing.py
+++ b/src/agateshelf/daemon/callers/writing.py
@@ -71,7 +71,8 @@
     Raises:
         h11.RemoteProtocolError: The target's answer is incomplete.
         curio.TaskTimeout: The target did not send all of the answer within the
-            call's timeout.
+            call's timeout, or nothing within the idle timeout to a caller that
+            has left.
         OSError: Either connection is broken.
     """
     source = answer.source
@@ -94,8 +95,13 @@
         left = answer.expires_at - clock.now()
         if left <= 0:
             raise curio.TaskTimeout("the call's timeout passed")
-        async with curio.timeout_after(left):
+        seconds = min(conn.limits.idle_seconds, left)
+        async with curio.ignore_after(seconds) as silence:
             event = await source.next_event()
+        if silence.expired:
+            if conn.disconnected:
+                raise curio.TaskTimeout("the caller left a silent target")
+            continue
         conn.enter(reading.Phase.WRITING)
         if not isinstance(event, h11.Data):
             break
