Tell targets of relayed requests the time that their callers have left

A target was told up to 0.8 s more than its caller had left (0.702 s in the test, with a wait of 0.35 s at both entries): the entry that has the call and the relay each leave out up to 0.4 s of the time that the request may have waited unread. The relay itself has to wait that long, as its answer at its deadline would be taken for a failure of the target before the caller's time is over. So the effect of a send now says by how much less the target is told.

--- a/src/agateshelf/core/effects.py
+++ b/src/agateshelf/core/effects.py
@@ -35,6 +35,7 @@
         workspace: Name of the workspace that the target is told in place of the
             caller's key; empty to tell it none, None to pass the caller's
             headers on as they are.
+        told_less: Seconds by which the target is told a shorter timeout.
     """
 
     call: int
@@ -47,6 +48,7 @@
     not_after: float = float("inf")
     relay: str = ""
     workspace: str | None = None
+    told_less: float = 0.0
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
--- a/src/agateshelf/core/forwarding/arrivals.py
+++ b/src/agateshelf/core/forwarding/arrivals.py
@@ -184,6 +184,7 @@
         soft_deadline=arrived + _soft_timeout(state.routes, route, timeout),
         deadline=now - counted_wait + _time_limit(event, route, timeout),
         key_digest=event.key_digest,
+        uncounted_wait=event.waited - counted_wait,
     )
 
 
--- a/src/agateshelf/core/forwarding/models.py
+++ b/src/agateshelf/core/forwarding/models.py
@@ -100,6 +100,8 @@
             regions were last checked.
         counted_at: When it was last counted for its workspace's quota.
         held_grant: Granted target that it holds while it is counted again.
+        uncounted_wait: Seconds that it may have waited unread and that its
+            deadline doesn't count.
     """
 
     number: int
@@ -126,6 +128,7 @@
     routes_stamp: tuple[int, int] = (0, 0)
     counted_at: float = -math.inf
     held_grant: "events.DispatchDecided | None" = None
+    uncounted_wait: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/agateshelf/daemon/targets/requests.py
+++ b/src/agateshelf/daemon/targets/requests.py
@@ -61,7 +61,7 @@
     """
     if effect.relay:
         return math.ceil(effect.timeout * _MILLISECONDS_PER_SECOND)
-    return deadlines.propagated_timeout_ms(effect.timeout)
+    return deadlines.propagated_timeout_ms(effect.timeout - effect.told_less)
 
 
 def _headers(
