Count no answer of another failure domain towards a reader's silence

Proof from other domains was left out before, plain answers not.

An answer of another failure domain now counts for a reader alone, whose own store is silent.

--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -417,9 +417,10 @@
     if changed:
         # Not relayed as the reader: neighbours that lack it must ask.
         feed.relayed_at = state.directory.revision
-    # Proof from another failure domain must not keep an entry from becoming the
-    # reader of its own.
-    if not watches_all(feed) and (is_neighbour or not update.token):
+    # What another failure domain answers must not keep an entry from becoming
+    # the reader of its own, whose removals may be held there.
+    counts = is_neighbour or (feed.is_reader and not update.token)
+    if counts and not watches_all(feed):
         feed.synced_at = max(feed.synced_at, now - update.age)
     return emitted
 
--- a/tests/core/feed/test_removals_in_time.py
+++ b/tests/core/feed/test_removals_in_time.py
@@ -250,6 +250,21 @@
     assert time_in_force(fleet, names) <= 1.0
 
 
+@pytest.mark.parametrize("down", [0.3, 0.5, 0.8, None])
+@pytest.mark.parametrize("leaving", [3, TARGETS])
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_removals_held_in_another_domain_delay_no_takeover(down, leaving, seed):
+    # The other domain's reader answers that it is current while it holds them.
+    fleet = create_fleet(seed, ("boston", "boston", "hartford"))
+    lost = readers(fleet)[0]
+    fleet.kill(lost)
+    if down is not None:
+        fleet.at(fleet.now + down, fleet.restart, lost)
+    fleet.run_for(0.05)
+    names = remove(fleet, leaving)
+    assert time_in_force(fleet, names) <= DRAIN_SECONDS - WAY_SECONDS
+
+
 @pytest.mark.parametrize("down", [0.3, 0.5, 0.8])
 @pytest.mark.parametrize("away", [1.5, 3.0])
 @pytest.mark.parametrize("seed", range(1, 5))
