--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -158,7 +158,8 @@
     if not state.feed.is_reader or (table is None and not changed):
         return []
     if not state.feed.relayed_at:
-        # It says that it is complete, also to those that know nothing yet.
+        # The first update says that it is complete from the beginning, also to
+        # entries that know nothing yet.
         known = state.directory.targets
         gone = (item for item in changed if item.id not in known)
         changed = (*known.values(), *gone)
--- a/src/agateshelf/core/forwarding/sending.py
+++ b/src/agateshelf/core/forwarding/sending.py
@@ -238,7 +238,8 @@
         relay=relay,
         workspace=call.workspace,
         not_after=proof.valid_until(state) if call.workspace else math.inf,
-        # The entry that has the call leaves out as much of its own wait.
+        # The entry that relays the call may leave out as much of its own wait,
+        # and the target must not be given both.
         told_less=call.uncounted_wait if call.relayed_for else 0.0,
     )
 
