Review: show that a payout that has run is answered 503

A grey server runs unsafe requests and fails some of them with a 503 that doesn't say X-Not-Executed. Answers over 1 MiB are streamed, and the 503 is passed on as it is: its client sends the payout again, and it runs twice.

--- /dev/null
+++ b/review/standins_2/servers.py
@@ -0,0 +1,165 @@
+"""Stand-in of a server: sound unless a case makes it fail."""
+
+import asyncio
+import dataclasses
+import hashlib
+import time
+
+from standins_2 import http
+from standins_2 import store
+
+_HEARTBEAT_SECONDS = 1.5
+_CHUNK_BYTES = 65536
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A request that a server has begun to work on.
+
+    Attributes:
+        request: Its `X-Request-Id`.
+        path: Its path.
+        server: Identifier of the server.
+        at: When it began, on the steady clock.
+        status: Status of the answer.
+    """
+
+    request: str
+    path: str
+    server: str
+    at: float
+    status: int = 0
+
+
+def body_of(request: str, size: int) -> bytes:
+    """Return the whole body of the answer to a request."""
+    block = hashlib.sha256(request.encode()).hexdigest().encode()
+    return (block * (size // len(block) + 1))[:size]
+
+
+def signature_of(request: str, status: int) -> str:
+    """Return the signature of an answer."""
+    return f"{hashlib.sha256(request.encode()).hexdigest()[:8]}.{status}"
+
+
+class Server:
+    """A server that registers itself and records its runs."""
+
+    def __init__(
+        self,
+        platform: store.Store,
+        identifier: str,
+        service: str,
+        zone: str,
+        *,
+        slots: int = 3,
+        work_seconds: float = 0.2,
+        answer_bytes: int = 600,
+    ) -> None:
+        """Create a server that isn't started yet."""
+        self.platform = platform
+        self.identifier = identifier
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.work_seconds = work_seconds
+        self.answer_bytes = answer_bytes
+        self.address = ""
+        self.runs: list[Run] = []
+        self._running = 0
+        self._sequence = 0
+        self._born = int(time.time() * 1000)
+        self._beats: asyncio.Task[None] | None = None
+
+    async def start(self, host: str) -> None:
+        """Listen on a free port of an address and register."""
+        server = await asyncio.start_server(
+            self._serve, host, 0, limit=http.STREAM_LIMIT
+        )
+        port = server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+        self._beats = asyncio.create_task(self._beat())
+
+    async def _beat(self) -> None:
+        while True:
+            self._sequence += 1
+            entry = {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": self.slots,
+                "state": "ready",
+                "warmup_left": 0,
+                "sequence": self._sequence,
+                "born": self._born,
+            }
+            self.platform.put(f"servers/{self.identifier}", entry)
+            await asyncio.sleep(_HEARTBEAT_SECONDS)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await http.read_head(reader)
+                body = await http.read_body(reader, head.headers)
+                if head.start[1] == "/health":
+                    await self._send(writer, 200, "", b"")
+                elif head.headers.get("x-target-instance") != self.identifier:
+                    await self._send(writer, 421, "X-Not-Executed: 1\r\n", b"")
+                else:
+                    await self._run(writer, head, body)
+        except (http.BrokenMessageError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def _run(
+        self, writer: asyncio.StreamWriter, head: http.Head, body: bytes
+    ) -> None:
+        del body
+        request = head.headers.get("x-request-id", "")
+        echoed = f"X-Request-Id: {request}\r\n"
+        if self._running >= self.slots:
+            await self._send(writer, 503, f"{echoed}X-Not-Executed: 1\r\n", b"")
+            return
+        run = Run(request, head.start[1], self.identifier, time.monotonic())
+        self.runs.append(run)
+        self._running += 1
+        try:
+            await asyncio.sleep(self.work_seconds)
+        finally:
+            self._running -= 1
+        run.status = self.status_of(run)
+        signature = signature_of(request, run.status)
+        await self._send(
+            writer,
+            run.status,
+            f"{echoed}X-Response-Signature: {signature}\r\n",
+            body_of(request, self.answer_bytes),
+        )
+
+    def status_of(self, run: Run) -> int:
+        """Return the status of the answer to a request that has run."""
+        del run
+        return 200
+
+    async def _send(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        headers: str,
+        body: bytes,
+    ) -> None:
+        head = (
+            f"HTTP/1.1 {status} Answer\r\n{headers}"
+            f"X-Instance-Id: {self.identifier}\r\n"
+            f"X-Server-Load: {self._running},0,{self.slots}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode())
+        for begin in range(0, len(body), _CHUNK_BYTES):
+            writer.write(body[begin : begin + _CHUNK_BYTES])
+            await writer.drain()
+        await writer.drain()
