Review: show that cut entries go on sending into the cut

An entry that is granted a hedge while the answer to the same request is being streamed keeps the hedge's attempt after the stream has ended and its call is gone. From then on the timer that looks for requests without an answer fails and is not scheduled again, and the entry doesn't notice that it is cut off from all servers.

--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -90,8 +90,18 @@
         number: int,
         zones: tuple[str, ...],
         platform: store.Store,
+        **changes: Any,
     ) -> None:
-        """Write the settings of an entry that isn't started yet."""
+        """Write the settings of an entry that isn't started yet.
+
+        Args:
+            folder: Folder for settings and log.
+            network: First three numbers of the addresses.
+            number: Number of the entry, from 1.
+            zones: Zones, to which entries belong in turn.
+            platform: The store.
+            **changes: Settings beside those of the template.
+        """
         self.zone = zones[(number - 1) % len(zones)]
         self.name = f"edge-{self.zone}-{number}"
         self.host = f"{network}.{number}"
@@ -124,7 +134,8 @@
         }
         template = (_ROOT / role["template"]).read_text()
         self._settings = folder / f"{self.name}.json"
-        self._settings.write_text(render(template, fields))
+        settings = {**json.loads(render(template, fields)), **changes}
+        self._settings.write_text(json.dumps(settings))
 
     def start(self) -> None:
         """Start the process with the environment that the platform gives."""
--- a/review/standins_2/servers.py
+++ b/review/standins_2/servers.py
@@ -66,7 +66,7 @@
         self.answer_bytes = answer_bytes
         self.address = ""
         self.runs: list[Run] = []
-        self._running = 0
+        self.running = 0
         self._sequence = 0
         self._born = int(time.time() * 1000)
         self._beats: asyncio.Task[None] | None = None
@@ -97,17 +97,28 @@
             self.platform.put(f"servers/{self.identifier}", entry)
             await asyncio.sleep(_HEARTBEAT_SECONDS)
 
+    async def hold(self, writer: asyncio.StreamWriter) -> None:
+        """Wait while the link to the peer of a connection is cut."""
+        del writer
+
+    def load(self) -> str:
+        """Return the value of `X-Server-Load`."""
+        return f"{self.running},0,{self.slots}"
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
             while True:
+                await self.hold(writer)
                 head = await http.read_head(reader)
+                await self.hold(writer)
                 body = await http.read_body(reader, head.headers)
                 if head.start[1] == "/health":
-                    await self._send(writer, 200, "", b"")
+                    self.note_check(writer)
+                    await self.send(writer, 200, "", b"")
                 elif head.headers.get("x-target-instance") != self.identifier:
-                    await self._send(writer, 421, "X-Not-Executed: 1\r\n", b"")
+                    await self.send(writer, 421, "X-Not-Executed: 1\r\n", b"")
                 else:
                     await self._run(writer, head, body)
         except (http.BrokenMessageError, OSError):
@@ -115,51 +126,73 @@
         finally:
             writer.close()
 
+    def note_check(self, writer: asyncio.StreamWriter) -> None:
+        """Note a health check."""
+        del writer
+
     async def _run(
         self, writer: asyncio.StreamWriter, head: http.Head, body: bytes
     ) -> None:
         del body
         request = head.headers.get("x-request-id", "")
         echoed = f"X-Request-Id: {request}\r\n"
-        if self._running >= self.slots:
-            await self._send(writer, 503, f"{echoed}X-Not-Executed: 1\r\n", b"")
+        if self.running >= self.slots:
+            await self.send(writer, 503, f"{echoed}X-Not-Executed: 1\r\n", b"")
             return
         run = Run(request, head.start[1], self.identifier, time.monotonic())
         self.runs.append(run)
-        self._running += 1
+        self.running += 1
         try:
-            await asyncio.sleep(self.work_seconds)
+            await self.work(run)
         finally:
-            self._running -= 1
+            self.running -= 1
+        await self.hold(writer)
         run.status = self.status_of(run)
         signature = signature_of(request, run.status)
-        await self._send(
+        await self.send(
             writer,
             run.status,
             f"{echoed}X-Response-Signature: {signature}\r\n",
-            body_of(request, self.answer_bytes),
+            body_of(request, self.size_of(run)),
         )
 
+    async def work(self, run: Run) -> None:
+        """Work on a request."""
+        del run
+        await asyncio.sleep(self.work_seconds)
+
+    def size_of(self, run: Run) -> int:
+        """Return the size of the body of an answer."""
+        del run
+        return self.answer_bytes
+
     def status_of(self, run: Run) -> int:
         """Return the status of the answer to a request that has run."""
         del run
         return 200
 
-    async def _send(
+    async def send(
         self,
         writer: asyncio.StreamWriter,
         status: int,
         headers: str,
         body: bytes,
     ) -> None:
+        """Send an answer."""
         head = (
             f"HTTP/1.1 {status} Answer\r\n{headers}"
             f"X-Instance-Id: {self.identifier}\r\n"
-            f"X-Server-Load: {self._running},0,{self.slots}\r\n"
+            f"X-Server-Load: {self.load()}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         writer.write(head.encode())
         for begin in range(0, len(body), _CHUNK_BYTES):
+            await self.pace(begin, len(body))
+            await self.hold(writer)
             writer.write(body[begin : begin + _CHUNK_BYTES])
             await writer.drain()
         await writer.drain()
+
+    async def pace(self, sent: int, size: int) -> None:
+        """Wait before the next part of a body is sent."""
+        del sent, size
