Review: show that early answers to uploads fill an entry's memory

A server may answer before it has read a long body. The entry then cancels the task that sends the request, and the request's bytes stay in a reference cycle that the garbage collector frees rarely. The platform ends the entry at its limit of memory, and all requests that it has passed on are lost.

--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -169,6 +169,14 @@
             await asyncio.sleep(_POLL_SECONDS)
         raise CannotRunError(f"{self.name} is not ready")
 
+    def memory_mb(self) -> float:
+        """Return the memory that the process holds; 0 if it has ended."""
+        if self._process is None or self._process.poll() is not None:
+            return 0.0
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        found = re.search(r"VmRSS:\s+(\d+) kB", status)
+        return int(found[1]) / 1024 if found else 0.0
+
     def stop(self) -> None:
         """Kill the process if it still runs."""
         if self._process is not None and self._process.poll() is None:
--- a/review/standins_2/servers.py
+++ b/review/standins_2/servers.py
@@ -42,6 +42,16 @@
     return f"{hashlib.sha256(request.encode()).hexdigest()[:8]}.{status}"
 
 
+def _refusal_headers(head: http.Head) -> str:
+    request = head.headers.get("x-request-id", "")
+    return f"X-Request-Id: {request}\r\nX-Not-Executed: 1\r\n"
+
+
+def _answer_headers(request: str, status: int) -> str:
+    signature = signature_of(request, status)
+    return f"X-Request-Id: {request}\r\nX-Response-Signature: {signature}\r\n"
+
+
 class Server:
     """A server that registers itself and records its runs."""
 
@@ -113,6 +123,12 @@
                 await self.hold(writer)
                 head = await http.read_head(reader)
                 await self.hold(writer)
+                if early := self.early_status(head):
+                    request = head.headers.get("x-request-id", "")
+                    headers = _answer_headers(request, early)
+                    await self.send(writer, early, headers, b"")
+                    await http.read_body(reader, head.headers)
+                    continue
                 body = await http.read_body(reader, head.headers)
                 if head.start[1] == "/health":
                     self.note_check(writer)
@@ -126,6 +142,14 @@
         finally:
             writer.close()
 
+    def early_status(self, head: http.Head) -> int:
+        """Return with what a request is answered before its body is read.
+
+        It is 0 for a request whose body is read first.
+        """
+        del head
+        return 0
+
     def note_check(self, writer: asyncio.StreamWriter) -> None:
         """Note a health check."""
         del writer
@@ -135,9 +159,8 @@
     ) -> None:
         del body
         request = head.headers.get("x-request-id", "")
-        echoed = f"X-Request-Id: {request}\r\n"
         if self.running >= self.slots:
-            await self.send(writer, 503, f"{echoed}X-Not-Executed: 1\r\n", b"")
+            await self.send(writer, 503, _refusal_headers(head), b"")
             return
         run = Run(request, head.start[1], self.identifier, time.monotonic())
         self.runs.append(run)
@@ -148,11 +171,10 @@
             self.running -= 1
         await self.hold(writer)
         run.status = self.status_of(run)
-        signature = signature_of(request, run.status)
         await self.send(
             writer,
             run.status,
-            f"{echoed}X-Response-Signature: {signature}\r\n",
+            _answer_headers(request, run.status),
             body_of(request, self.size_of(run)),
         )
 
