Take an answer without a length for broken if its connection broke

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection.

Cause: the kernel reports the error of a socket once, to the first call that asks. A large upload is sent by a task of its own, which dropped the error. The reader then found an end without an error, which is how an answer without a length ends. Other errors (ETIMEDOUT by the user timeout, unreachable hosts) come in the same way.

Change: a connection remembers the error of its send, and its reader raises it where the received bytes end. EPIPE is left out: the kernel reports it where the peer had closed its side before, so that all of the answer has arrived. Sound early answers that end by a close stay complete.

Why it works: the sender gets the error and records it without a step of another task between, so the reader can't find the end before. Answers with a length or in chunks were incomplete already, as h11 knows their end.

--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -46,6 +46,7 @@
         last_answer_at: Loop time of the last complete answer; None on a new
             connection.
         request_sent: Whether all bytes of the current request were sent.
+        send_error: Error that ended the sending of the current request.
         head_only: Whether the current request is a HEAD.
         interrupted: Whether it was shut down by `interrupt`.
         idle_seconds: Time for which it may be idle, by what the target says.
@@ -59,6 +60,7 @@
     address: str
     last_answer_at: float | None = None
     request_sent: bool = True
+    send_error: OSError | None = None
     head_only: bool = False
     interrupted: bool = False
     idle_seconds: float = math.inf
@@ -101,7 +103,11 @@
             OSError: The connection is broken.
         """
         self.request_sent = False
-        await self.sock.sendall(data)
+        try:
+            await self.sock.sendall(data)
+        except OSError as exc:
+            self.send_error = exc
+            raise
         self.request_sent = True
 
     async def next_event(
@@ -122,9 +128,25 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self.sock.recv(READ_BYTES)
+            if not data:
+                self._check_end()
             self.protocol.receive_data(data)
             await self.turn.step(_RECEIVE_WEIGHT)
 
+    def _check_end(self) -> None:
+        """Check that the end of the received bytes is not due to an error.
+
+        The kernel reports an error once. If the sender got it, the reader finds
+        an end like that of an answer without a length. After EPIPE it is one:
+        the target had closed its side of the connection before.
+
+        Raises:
+            OSError: The connection is broken.
+        """
+        error = self.send_error
+        if error is not None and not isinstance(error, BrokenPipeError):
+            raise error
+
     async def read_head(self) -> h11.Response:
         """Return the head of the answer, after any interim responses.
 
--- a/tests/daemon/test_routes.py
+++ b/tests/daemon/test_routes.py
@@ -28,6 +28,14 @@
 
 async def create_entry(scripts, table=None, *, is_relay=False):
     """Start an entry with one target for each script."""
+    targets = [conftest.ScriptedTarget(script) for script in scripts]
+    for target in targets:
+        await target.start()
+    return await create_entry_for(targets, table, is_relay=is_relay)
+
+
+async def create_entry_for(targets, table=None, *, is_relay=False):
+    """Start an entry in front of targets that have been started."""
     cfg = settings.Settings(
         entry="entry-0",
         failure_domain="boston",
@@ -46,14 +54,10 @@
     await curio.spawn(driver.targets.connections.run, daemon=True)
     await curio.spawn(caller_server.watcher.run, daemon=True)
     await driver.post(events.Started(1, has_store=False, has_feed=True))
-    targets, items = [], []
-    for index, script in enumerate(scripts):
-        target = conftest.ScriptedTarget(script)
-        await target.start()
-        targets.append(target)
-        items.append(
-            routed_fleet.create_target(f"t{index}", address=target.address)
-        )
+    items = [
+        routed_fleet.create_target(f"t{index}", address=target.address)
+        for index, target in enumerate(targets)
+    ]
     table = table or routed_fleet.create_table(
         1, routed_fleet.create_route(), BOOK
     )
