Check the status line of answers against HTTP's grammar

Callers saw: the reported 000 was rejected already, as were 001 to 099, other lengths, signs and letters; those tests are kept. But 600 and 999 were passed on as answers, and so were HTTP/2.0 and control bytes in the reason phrase.

Cause: h11 reads statuses up to 999, any version of one digit each, and control bytes that aren't white space.

Change: each place that reads an answer by h11 (targets, relays, probes, the store) gets its events from one method of the connection. It checks the status line of a complete head before h11 takes it: HTTP/1.x and a status from 100 to 599. RFC 9110, 15, has a client take other statuses for a server error; here the attempt ends with bad-answer, so a caller gets 502, and an idempotent request is tried again.

Evidence: test_broken_heads.py with 45 status lines, at once and in parts, and some of them from a stand-in on fresh and kept connections, buffered and streamed, and behind a relay.

--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -10,6 +10,7 @@
 import h11
 
 from agateshelf.daemon import fairness
+from agateshelf.daemon.targets import heads
 
 # Interim responses before an answer; more are taken for a faulty target.
 _MAX_INTERIM_RESPONSES = 32
@@ -124,6 +125,8 @@
             # What had arrived before can be much, and is no longer wanted.
             if self.interrupted:
                 raise ConnectionAbortedError("connection was interrupted")
+            if self.protocol.their_state is h11.SEND_RESPONSE:
+                heads.check(self.protocol.trailing_data[0])
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
--- /dev/null
+++ b/tests/daemon/targets/test_broken_heads.py
@@ -0,0 +1,192 @@
+"""Answers whose head the grammar of HTTP rules out, wherever they are read.
+
+Guards against incident MIXED: such answers were passed on to callers.
+"""
+
+import curio
+import h11
+import pytest
+from returns import result
+from tests.daemon import conftest
+from tests.daemon import test_routes
+from tests.daemon.targets import broken_heads
+from tests.daemon.targets import broken_target
+
+from agateshelf.core import effects
+from agateshelf.daemon import fetching
+from agateshelf.daemon.targets import connection
+from agateshelf.daemon.targets import probing
+from agateshelf.platform import dialect
+
+REQUESTS = (test_routes.GET, test_routes.POST)
+LARGE = b"x" * 1_500_000
+# Some lines of each kind, for tests that start an entry for each.
+STATUS_LINES = (
+    b"HTTP/1.1 000 X",
+    b"HTTP/1.1 099 X",
+    b"HTTP/1.1 600 X",
+    b"HTTP/1.1 999 X",
+    b"HTTP/2.0 200 X",
+    b"HTTP/1.1 200 X\x01Y",
+)
+# Answers by the kind of line that is broken.
+BROKEN = {
+    "status": [
+        broken_heads.with_status_line(line)
+        for line in broken_heads.STATUS_LINES
+    ],
+}
+SAMPLES = {
+    "status": [
+        broken_heads.with_status_line(line, body)
+        for line in STATUS_LINES
+        for body in (broken_heads.BODY, LARGE)
+    ],
+}
+PROPER = [
+    broken_heads.with_status_line(b"HTTP/1.1 %d X" % status)
+    for status in broken_heads.STATUSES
+]
+
+
+class FakeSocket:
+    """A socket that receives given bytes in parts, then its end."""
+
+    def __init__(self, data, size):
+        self.parts = [
+            data[start : start + size] for start in range(0, len(data), size)
+        ]
+
+    async def recv(self, _size):
+        return self.parts.pop(0) if self.parts else b""
+
+
+async def read_answer(data, size):
+    """Return status and body of an answer that arrives in parts of a size."""
+    conn = connection.TargetConnection(
+        FakeSocket(data, size), h11.Connection(h11.CLIENT), "127.0.0.1:1"
+    )
+    conn.protocol.send(
+        h11.Request(method="GET", target="/", headers=[("host", "h")])
+    )
+    conn.protocol.send(h11.EndOfMessage())
+    head = await conn.read_head()
+    body = b""
+    while isinstance(event := await conn.next_event(), h11.Data):
+        body += event.data
+    return head.status_code, body
+
+
+@pytest.mark.parametrize("size", [1, 7, 65536])
+@pytest.mark.parametrize("kind", BROKEN)
+def test_a_broken_head_is_an_error(kind, size):
+    for data in BROKEN[kind]:
+        with pytest.raises(h11.RemoteProtocolError):
+            curio.run(read_answer, data, size)
+
+
+@pytest.mark.parametrize("size", [1, 7, 65536])
+@pytest.mark.parametrize("data", PROPER)
+def test_a_proper_head_is_read(data, size):
+    status, body = curio.run(read_answer, data, size)
+    assert status == int(data.split()[1])
+    assert body == (b"" if status in (204, 304) else b"ok")
+
+
+def test_a_switch_of_protocols_that_was_not_asked_for_is_an_error():
+    data = broken_heads.with_status_line(b"HTTP/1.1 101 X")
+    with pytest.raises(h11.RemoteProtocolError):
+        curio.run(read_answer, data, 65536)
+
+
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_interim_statuses_are_skipped(status):
+    interim = b"HTTP/1.1 %d X\r\n\r\n" % status
+    data = interim + broken_heads.with_status_line(b"HTTP/1.1 200 X")
+    assert curio.run(read_answer, data, 65536) == (200, b"ok")
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+@pytest.mark.parametrize("request_bytes", REQUESTS)
+@pytest.mark.parametrize("kind", BROKEN)
+def test_a_broken_head_is_not_passed_on(
+    virtual_run, kind, request_bytes, is_kept
+):
+    async def test_one(data):
+        async def script(request, sock):
+            if request.header(b"x-request-id") == [b"r0"]:
+                mine = test_routes.VALID.replace(b"r1", b"r0")
+                return conftest.http_response(extra=mine)
+            await sock.sendall(data)
+            await curio.sleep(10)
+            return None
+
+        rig = await test_routes.create_entry((script,))
+        if is_kept:
+            earlier = request_bytes.replace(b"r1", b"r0")
+            await (await rig.caller()).request(earlier)
+        response = await (await rig.caller()).request(request_bytes)
+        assert response.status == 502, data
+        assert b"x-response-signature" not in response.head.lower()
+        runs = [
+            request
+            for request in rig.target[0].requests
+            if request.header(b"x-request-id") == [b"r1"]
+        ]
+        if request_bytes is test_routes.POST:
+            assert len(runs) == 1
+
+    for data in SAMPLES[kind]:
+        virtual_run(test_one, data)
+
+
+@pytest.mark.parametrize("kind", BROKEN)
+def test_a_broken_head_is_not_passed_on_by_a_relay(kind, monkeypatch):
+    async def ask(target):
+        entry = await broken_target.start_entry(target, monkeypatch)
+        received = await broken_target.ask(entry.address, "/book/1", b"hi")
+        assert entry.rigs[1].driver.exchanges.last_call == 1
+        return received
+
+    for data in SAMPLES[kind]:
+        target = broken_target.BrokenTarget(broken_target.Answer(data))
+        received = broken_target.run(lambda: ask(target))  # noqa: B023
+        target.close()
+        assert (received.status, received.complete) == (502, True), data
+        assert target.runs == 1
+
+
+@pytest.mark.parametrize("kind", BROKEN)
+def test_a_broken_head_is_no_answer_to_a_probe(kind, virtual_run):
+    async def body():
+        posted = []
+
+        async def post(event):
+            posted.append(event)
+
+        for data in BROKEN[kind]:
+            target = conftest.ScriptedTarget(test_routes.responding(data))
+            await target.start()
+            probe = effects.ProbeTarget(
+                "status", "t0", target.address, "/health", 0.5
+            )
+            await probing.Prober(dialect.DIALECT).probe(probe, post)
+            await curio.sleep(1.0)
+        return posted
+
+    reached = [event.reached for event in virtual_run(body)]
+    assert reached == [False] * len(BROKEN[kind])
+
+
+@pytest.mark.parametrize("kind", BROKEN)
+def test_a_broken_head_is_no_answer_of_the_store(kind, virtual_run):
+    async def body():
+        for data in BROKEN[kind]:
+            target = conftest.ScriptedTarget(test_routes.responding(data))
+            await target.start()
+            fetched = await fetching.fetch(
+                target.address, fetching.Request("GET", "/kv-key?key=a"), 1.0
+            )
+            assert isinstance(fetched, result.Failure), data
+
+    virtual_run(body)
