Reject answers with control bytes in the values of fields

Callers saw: field lines with control bytes in their values were passed on as they were.

Cause: h11 rejects only NUL and white space there, and values of parsed heads are not checked again when they are written.

Change: the check of heads allows in values what the grammar does: visible characters, blanks, tabs and bytes from 0x80. RFC 9110, 5.5, calls values with other control bytes invalid. The short reader of probes, which was as strict, shares the pattern.

--- a/src/agateshelf/daemon/targets/short_answers.py
+++ b/src/agateshelf/daemon/targets/short_answers.py
@@ -12,10 +12,14 @@
 import h11
 
 from agateshelf.daemon import messages
+from agateshelf.daemon.targets import heads
 
 _HEAD = re.compile(
-    rb"HTTP/1\.1 ([2-5][0-9]{2})(?: [\t \x21-\x7e\x80-\xff]*)?\r\n"
-    rb"((?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t \x21-\x7e\x80-\xff]*\r\n)*)\r\n"
+    rb"HTTP/1\.1 ([2-5][0-9]{2})"
+    + heads.REASON
+    + rb"\r\n((?:"
+    + heads.FIELD_LINE
+    + rb"\r\n)*)\r\n"
 )
 _LENGTH = re.compile(rb"[0-9]{1,6}")
 # Answers without a body, whatever their Content-Length says.
--- a/tests/daemon/targets/test_broken_heads.py
+++ b/tests/daemon/targets/test_broken_heads.py
@@ -40,6 +40,7 @@
     b" Transfer-Encoding: chunked",
     b" Content-Length: 1",
 )
+VALUE_LINES = (b"X-A: 1\x012", b"X-A: \x7f", b"X-A: 1\n", b"X-A: \x00")
 # Answers by the kind of line that is broken.
 BROKEN = {
     "status": [
@@ -49,6 +50,9 @@
     "name": [
         broken_heads.with_field_line(line) for line in broken_heads.NAME_LINES
     ],
+    "value": [
+        broken_heads.with_field_line(line) for line in broken_heads.VALUE_LINES
+    ],
 }
 SAMPLES = {
     "status": [
@@ -61,6 +65,11 @@
         for line in NAME_LINES
         for body in (broken_heads.BODY, LARGE)
     ],
+    "value": [
+        broken_heads.with_field_line(line, body)
+        for line in VALUE_LINES
+        for body in (broken_heads.BODY, LARGE)
+    ],
 }
 PROPER = [
     broken_heads.with_status_line(b"HTTP/1.1 %d X" % status)
