Keep bodies of answers in one buffer, so that they take what is counted

What was reported elsewhere: bytes without end in a body filled the memory of the machine that had called. Here bodies are limited by their size (1 MiB of an answer is buffered, 64 MiB of all; 8 MiB are read from the store), but each chunk was kept as an object of its own, which takes far more than a small chunk has.

Cause: the parts of a body were kept in a list until its end. Tests of endless bytes had chunks of one byte, and such objects are shared.

Change: the clients of targets and of the store collect a body in a bytearray.

--- a/src/agateshelf/daemon/fetching.py
+++ b/src/agateshelf/daemon/fetching.py
@@ -98,14 +98,12 @@
 
 async def _read(conn: connection.TargetConnection) -> Response:
     head = await conn.read_head()
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     while True:
         event = await conn.next_event()
         if not isinstance(event, h11.Data):
             break
-        size += len(event.data)
-        if size > _MAX_BODY_BYTES:
+        body += event.data
+        if len(body) > _MAX_BODY_BYTES:
             raise h11.RemoteProtocolError("response body too large")
-        parts.append(bytes(event.data))
-    return Response(head.status_code, tuple(head.headers), b"".join(parts))
+    return Response(head.status_code, tuple(head.headers), bytes(body))
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -278,18 +278,18 @@
         if not self.dialect.allows_close_delimited:
             _check_framing(conn, head.status_code, headers)
         _check_signature(self.dialect, head.status_code, headers)
-        parts: list[bytes] = []
+        body = bytearray()
         source: connection.TargetConnection | None = None
         while True:
             event = await conn.next_event()
             if not isinstance(event, h11.Data):
                 break
-            parts.append(bytes(event.data))
+            body += event.data
             if not self._reserve(len(event.data), running):
                 source = conn
                 break
         if running.effect.relay:
-            _check_relayed(headers, b"".join(parts))
+            _check_relayed(headers, body)
         answer_headers = messages.end_to_end(headers)
         if self.dialect.adds_proxy_headers:
             via = b"%b %b" % (head.http_version, self.via)
@@ -298,7 +298,7 @@
             status=head.status_code,
             reason=bytes(head.reason),
             headers=answer_headers,
-            body=parts[0] if len(parts) == 1 else b"".join(parts),
+            body=bytes(body),
             source=source,
             attempt=running.effect.attempt,
             reserved=running.reserved,
@@ -447,7 +447,7 @@
         raise h11.RemoteProtocolError("body was encoded by an intermediary")
 
 
-def _check_relayed(headers: messages.Headers, body: bytes) -> None:
+def _check_relayed(headers: messages.Headers, body: bytearray) -> None:
     """Check that an answer through a relay is one of the target.
 
     Raises:
