--- a/tests/daemon/targets/broken_target.py
+++ b/tests/daemon/targets/broken_target.py
@@ -26,12 +26,16 @@
 # Small, so that the upload is still being sent when its answer comes.
 _RECEIVE_BUFFER_BYTES = 4096
 _HEAD_BYTES = 1024
+_FLOOD_REPEATS = 1000
+# What a caller keeps of a body.
+_MAX_KEPT_BYTES = 2 << 20
 _RESET = struct.pack("ii", 1, 0)
 
 
 class End(enum.Enum):
     """What the target does after its answer."""
 
+    FLOOD = "flood"
     RESET = "reset"
     CLOSE_THEN_RESET = "close, then reset"
     CLOSE = "close"
@@ -47,12 +51,14 @@
         end: What it does then.
         pause: Seconds between both.
         reads_all: Whether it reads the whole request first.
+        again: What it sends without end in a flood.
     """
 
     data: bytes
     end: End = End.KEEP
     pause: float = 0.0
     reads_all: bool = False
+    again: bytes = b""
 
 
 class BrokenTarget:
@@ -112,6 +118,10 @@
         sock.sendall(self.answer.data)
         self.stopped.wait(self.answer.pause)
         match self.answer.end:
+            case End.FLOOD:
+                block = self.answer.again * _FLOOD_REPEATS
+                while not self.stopped.is_set():
+                    sock.sendall(block)
             case End.RESET:
                 _reset_on_close(sock)
             case End.CLOSE_THEN_RESET:
@@ -165,7 +175,7 @@
     Attributes:
         status: Status of the answer; None without one.
         headers: Its headers.
-        body: Its body as far as it came.
+        body: Its body as far as it came, or the first part of a large one.
         complete: Whether it came to its end.
     """
 
@@ -175,7 +185,9 @@
     complete: bool = False
 
 
-async def ask(address, path, body=b"", request_id=b"r1"):
+async def ask(
+    address, path, body=b"", request_id=b"r1", timeout=TIMEOUT_SECONDS
+):
     """Send a request as a caller, and return what comes back."""
     host, _, port = address.rpartition(":")
     sock = await curio.open_connection(host, int(port))
@@ -186,7 +198,7 @@
         headers=[
             ("Host", "recall.example"),
             ("X-Request-Id", request_id),
-            ("X-Deadline-Ms", f"{1000 * TIMEOUT_SECONDS:.0f}"),
+            ("X-Deadline-Ms", f"{1000 * timeout:.0f}"),
             ("Content-Length", str(len(body))),
         ],
     )
@@ -231,7 +243,7 @@
 
 async def _receive(sock, protocol):
     received = Received()
-    parts = []
+    body = bytearray()
     with contextlib.suppress(OSError, h11.RemoteProtocolError):
         while True:
             event = protocol.next_event()
@@ -241,11 +253,12 @@
                 received.status = event.status_code
                 received.headers = tuple(event.headers)
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                if len(body) <= _MAX_KEPT_BYTES:
+                    body += event.data
             else:
                 received.complete = isinstance(event, h11.EndOfMessage)
                 break
-    received.body = b"".join(parts)
+    received.body = bytes(body)
     return received
 
 
