Keep bodies of requests in one buffer, so that they take what is counted

Change: the reader of chunked requests collects the body in a bytearray. Requests with a length are read in parts of what has arrived, as before.

Evidence: test_small_chunks.py.

--- a/src/agateshelf/daemon/callers/reading.py
+++ b/src/agateshelf/daemon/callers/reading.py
@@ -280,8 +280,7 @@
 
 async def _read_chunks(conn: CallerConnection) -> bytes:
     await _send_continue(conn)
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     tail = b""
     while True:
         await conn.turn.step()
@@ -293,17 +292,16 @@
             continue
         if not isinstance(event, h11.Data):
             break
-        size += len(event.data)
-        if size > conn.limits.request_body_bytes:
+        if len(body) + len(event.data) > conn.limits.request_body_bytes:
             raise _body_too_large()
         conn.reserve(len(event.data))
-        parts.append(bytes(event.data))
+        body += event.data
     unread = len(conn.protocol.trailing_data[0])
     if not tail[: len(tail) - unread].endswith(HEAD_END):
         raise checks.malformed(
             "The chunked body does not end in an empty line."
         )
-    return b"".join(parts)
+    return bytes(body)
 
 
 async def _next_bytes(conn: CallerConnection, limit: int) -> bytes:
--- a/tests/daemon/targets/test_small_chunks.py
+++ b/tests/daemon/targets/test_small_chunks.py
@@ -81,3 +81,29 @@
     assert isinstance(fetched, result.Success)
     assert len(fetched.unwrap().body) == CHUNKS * size
     assert peak <= MAX_COPIES * CHUNKS * size + OTHER_BYTES
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_a_request_takes_the_memory_that_is_counted(virtual_run, size):
+    async def body():
+        script = test_routes.responding(
+            conftest.http_response(extra=test_routes.VALID)
+        )
+        rig = await test_routes.create_entry((script,))
+        caller = await rig.caller()
+        some = b"%x\r\n%b\r\n" % (size, b"x" * size) * 1000
+        peak = Peak()
+        await caller.send(
+            b"POST /book/1 HTTP/1.1\r\nHost: recall.example\r\n"
+            b"X-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        for _ in range(CHUNKS // 1000):
+            await caller.send(some)
+        measured = peak.stop()
+        response = await caller.request(b"0\r\n\r\n")
+        (request,) = rig.target[0].requests
+        return response, request, measured
+
+    response, request, peak = virtual_run(body)
+    assert (response.status, len(request.body)) == (200, CHUNKS * size)
+    assert peak <= MAX_COPIES * CHUNKS * size + OTHER_BYTES
