Remove the length of an answer in chunks, which they override

Found by looking at answers in chunks and with a length, not reported. Callers saw: a streamed answer that had Transfer-Encoding and Content-Length was passed on with the length alone.

Cause: Transfer-Encoding concerns one hop and is removed, but the length that it overrides was kept. Buffered answers get a length of their own.

Change: the length goes where there is a Transfer-Encoding, as RFC 9112, 6.3, demands of intermediaries. The caller of a stream gets chunks.

--- a/src/agateshelf/daemon/messages.py
+++ b/src/agateshelf/daemon/messages.py
@@ -81,6 +81,16 @@
     return tuple([pair for pair in kept if pair[0] not in named])
 
 
+def without_overridden_length(headers: Headers) -> Headers:
+    """Return the headers without a length that chunks override.
+
+    An intermediary must remove it (RFC 9112, section 6.3).
+    """
+    if header(headers, b"transfer-encoding") is None:
+        return headers
+    return tuple([pair for pair in headers if pair[0] != b"content-length"])
+
+
 _H11Headers: Any = type(h11.Response(status_code=200, headers=[]).headers)
 
 
--- a/src/agateshelf/daemon/targets/client.py
+++ b/src/agateshelf/daemon/targets/client.py
@@ -290,7 +290,9 @@
                 break
         if running.effect.relay:
             _check_relayed(headers, body)
-        answer_headers = messages.end_to_end(headers)
+        answer_headers = messages.end_to_end(
+            messages.without_overridden_length(headers)
+        )
         if self.dialect.adds_proxy_headers:
             via = b"%b %b" % (head.http_version, self.via)
             answer_headers = (*answer_headers, (b"via", via))
