--- a/src/agateshelf/daemon/targets/connection.py
+++ b/src/agateshelf/daemon/targets/connection.py
@@ -137,11 +137,11 @@
             await self.turn.step(_RECEIVE_WEIGHT)
 
     def _check_end(self) -> None:
-        """Check that the end of the received bytes is not due to an error.
+        """Check that the received bytes don't end because of an error.
 
         The kernel reports an error once. If the sender got it, the reader finds
-        an end like that of an answer without a length. After EPIPE it is one:
-        the target had closed its side of the connection before.
+        an end like that of an answer without a length. EPIPE is left out: the
+        target had closed its side of the connection before.
 
         Raises:
             OSError: The connection is broken.
