--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -85,7 +85,7 @@
         (
             Edit(
                 "agateshelf/daemon/targets/client.py",
-                'body=parts[0] if len(parts) == 1 else b"".join(parts)',
+                "body=bytes(body)",
                 'body=b"{}"',
             ),
         ),
