Test broken answers on kept connections, behind relays, to probes and of the store

These cases had been tried by hand only: resets and broken heads on connections that a relay keeps, broken heads on those that probes keep, resets to probes and to the client of the store, and endless bytes on kept connections. The product is not changed.

--- a/tests/daemon/targets/test_broken_connections.py
+++ b/tests/daemon/targets/test_broken_connections.py
@@ -11,9 +11,14 @@
 import curio
 import h11
 import pytest
+from returns import result
 from tests.daemon.targets import broken_target
 
+from agateshelf.core import effects
+from agateshelf.daemon import fetching
 from agateshelf.daemon.targets import connection
+from agateshelf.daemon.targets import probing
+from agateshelf.platform import dialect
 
 SIZES = (300, 1_500_000)
 UPLOADS = (4_000, 60_000, 4_000_000)
@@ -43,7 +48,7 @@
         assert (first.status, first.body) == (200, b"ok")
     received = await broken_target.ask(entry.address, path, b"u" * upload)
     relayed_calls = [rig.driver.exchanges.last_call for rig in entry.rigs[1:]]
-    assert relayed_calls == ([1] if relayed else [])
+    assert relayed_calls == ([target.good + 1] if relayed else [])
     return received
 
 
@@ -80,16 +85,47 @@
         check_reset(answer, path, upload, good)
 
 
+@pytest.mark.parametrize("good", [0, 1], ids=["fresh", "kept"])
 @pytest.mark.parametrize("upload", UPLOADS)
 @pytest.mark.parametrize("size", SIZES)
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_an_answer_that_is_reset_behind_a_relay_is_not_complete(
-    framing, size, upload, monkeypatch
+    framing, size, upload, good, monkeypatch
 ):
     data = begun_answer(framing, size)
     for pause, path in itertools.product(PAUSES, PATHS):
         answer = broken_target.Answer(data, broken_target.End.RESET, pause)
-        check_reset(answer, path, upload, relayed=monkeypatch)
+        check_reset(answer, path, upload, good, monkeypatch)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_an_answer_that_is_reset_is_none_to_a_probe_or_of_the_store(framing):
+    answer = broken_target.Answer(
+        begun_answer(framing, 300), broken_target.End.RESET
+    )
+    posted = []
+
+    async def post(event):
+        posted.append(event)
+
+    async def test():
+        probe = effects.ProbeTarget("status", "t0", target.address, "/", 1.0)
+        await probing.Prober(dialect.DIALECT).probe(probe, post)
+        body = b"u" * UPLOADS[-1]
+        for request in (
+            fetching.Request("GET", "/kv-key?key=a"),
+            fetching.Request("PUT", "/kv-key?key=a", body=body),
+        ):
+            fetched = await fetching.fetch(target.address, request, 1.0)
+            assert isinstance(fetched, result.Failure)
+        while not posted:
+            await curio.sleep(0.01)
+
+    target = broken_target.BrokenTarget(answer)
+    with contextlib.closing(target):
+        broken_target.run(test)
+    assert [event.reached for event in posted] == [False]
+    assert target.runs == 3
 
 
 # Closing with unread bytes is a reset, unless the target has shut down its side
--- a/tests/daemon/targets/test_broken_heads.py
+++ b/tests/daemon/targets/test_broken_heads.py
@@ -207,24 +207,30 @@
         virtual_run(test_one, data)
 
 
+@pytest.mark.parametrize("good", [0, 1], ids=["fresh", "kept"])
 @pytest.mark.parametrize("kind", BROKEN)
-def test_a_broken_head_is_not_passed_on_by_a_relay(kind, monkeypatch):
+def test_a_broken_head_is_not_passed_on_by_a_relay(kind, good, monkeypatch):
     async def ask(target):
         entry = await broken_target.start_entry(target, monkeypatch)
+        for _ in range(good):
+            await broken_target.ask(entry.address, "/book/1", b"x", b"r0")
         received = await broken_target.ask(entry.address, "/book/1", b"hi")
-        assert entry.rigs[1].driver.exchanges.last_call == 1
+        assert entry.rigs[1].driver.exchanges.last_call == good + 1
         return received
 
     for data in SAMPLES[kind]:
-        target = broken_target.BrokenTarget(broken_target.Answer(data))
+        target = broken_target.BrokenTarget(broken_target.Answer(data), good)
         received = broken_target.run(lambda: ask(target))  # noqa: B023
         target.close()
         assert (received.status, received.complete) == (502, True), data
         assert target.runs == 1
 
 
+@pytest.mark.parametrize("is_kept", [False, True])
 @pytest.mark.parametrize("kind", BROKEN)
-def test_a_broken_head_is_no_answer_to_a_probe(kind, virtual_run):
+def test_a_broken_head_is_no_answer_to_a_probe(kind, is_kept, virtual_run):
+    proper = [WHOLE] if is_kept else []
+
     async def body():
         posted = []
 
@@ -232,17 +238,25 @@
             posted.append(event)
 
         for data in BROKEN[kind]:
-            target = conftest.ScriptedTarget(test_routes.responding(data))
+            answers = iter((*proper, data))
+
+            async def script(_request, _sock, answers=answers):
+                return next(answers)
+
+            target = conftest.ScriptedTarget(script)
             await target.start()
             probe = effects.ProbeTarget(
                 "status", "t0", target.address, "/health", 0.5
             )
-            await probing.Prober(dialect.DIALECT).probe(probe, post)
-            await curio.sleep(1.0)
+            prober = probing.Prober(dialect.DIALECT)
+            for _ in (*proper, data):
+                await prober.probe(probe, post)
+                await curio.sleep(1.0)
+            assert target.connections == 1
         return posted
 
     reached = [event.reached for event in virtual_run(body)]
-    assert reached == [False] * len(BROKEN[kind])
+    assert reached == [*([True] * len(proper)), False] * len(BROKEN[kind])
 
 
 @pytest.mark.parametrize("kind", BROKEN)
--- a/tests/daemon/targets/test_endless_answers.py
+++ b/tests/daemon/targets/test_endless_answers.py
@@ -48,11 +48,14 @@
 MAX_STORE_GROWTH_BYTES = (STORE_REQUESTS + 1) * (8 << 20)
 
 
-def flooding(kind):
-    """Return a target that sends bytes of a kind without end."""
+def flooding(kind, good=0):
+    """Return a target that sends bytes of a kind without end.
+
+    It answers the first requests of each connection well.
+    """
     first, again = KINDS[kind]
     answer = broken_target.Answer(first, broken_target.End.FLOOD, again=again)
-    return contextlib.closing(broken_target.BrokenTarget(answer))
+    return contextlib.closing(broken_target.BrokenTarget(answer, good))
 
 
 def resident_bytes():
@@ -84,8 +87,11 @@
     return not rig.budget.reserved and not rig.driver.targets.running
 
 
+# On a kept connection one request at a time gets such an answer: others would
+# open connections of their own.
+@pytest.mark.parametrize(("good", "callers"), [(0, CALLERS), (1, 1)])
 @pytest.mark.parametrize("kind", KINDS)
-def test_endless_answers_to_many_callers_at_once_are_ended(kind, monkeypatch):
+def test_endless_answers_to_callers_are_ended(kind, good, callers, monkeypatch):
     async def ask_all(entry):
         tasks = [
             await curio.spawn(
@@ -96,13 +102,15 @@
                 b"r1",
                 DEADLINE_SECONDS,
             )
-            for _ in range(CALLERS)
+            for _ in range(callers)
         ]
         return [await task.join() for task in tasks]
 
     async def test():
         for relayed in (None, monkeypatch):
             entry = await broken_target.start_entry(target, relayed)
+            for _ in range(good):
+                await broken_target.ask(entry.address, "/vin/1", b"", b"r0")
             all_received, _, growth = await run_with_growth(
                 lambda: ask_all(entry)  # noqa: B023
             )
@@ -113,7 +121,7 @@
                 while not all(map(is_idle, entry.rigs)):
                     await curio.sleep(0.01)
 
-    with flooding(kind) as target:
+    with flooding(kind, good) as target:
         broken_target.run(test, 30)
         assert target.runs >= 1
 
