Don't compare cut entries while no target is registered

Cause: the plan deletes the registrations of all targets 2.3 s after four of the five entries are cut off. What failed at the cut entries counted, while the other entry may have had no request in that part: callers choose entries at random.

An outage of the store is no such excuse.

--- a/soak/history.py
+++ b/soak/history.py
@@ -72,7 +72,8 @@
         kind: `entry` for a pause or kill of an entry, `stop` for its stop by
             SIGTERM, `busy` while its loop is kept busy, `link` for a fault of
             its links, `cut` for a cut from all targets; `target` or `store` for
-            any fault of these.
+            any fault of these, and also `lapse` while the entries may know of
+            no target, as all registrations had been deleted.
         index: Number of the entry or target; -1 for all.
         begin: When the fault began.
         end: When it was over.
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -469,6 +469,7 @@
         await _delete_registration(cluster, target)
     await curio.sleep(_RESTART_SECONDS)
     cluster.add_fault_window("store", -1, begin)
+    cluster.add_fault_window("lapse", -1, begin)
 
 
 async def _break_link(
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -653,7 +653,9 @@
 
     Requests at entries that were killed, stopped or paused, or whose other
     links were broken, don't count, nor do those at times at which that held for
-    all entries that were not cut off: nobody could relay them.
+    all entries that were not cut off: nobody could relay them. Nor do those at
+    times at which no target was registered: every entry refuses them, but the
+    others may have got none then.
     """
     windows = [w for w in history.fault_windows if w.kind == "cut"]
     if not windows:
@@ -682,6 +684,9 @@
         and not workspaces.is_refused_rightly(history, call)
         and not quotas.is_limited(history, call)
         and not is_disturbed(call.entry, begin - CUT_SETTLING_SECONDS, call)
+        and not _is_fault_active(
+            history, call.sent_at, call.sent_at, kinds=("lapse",)
+        )
         and not all(
             is_disturbed(entry, call.sent_at - SETTLING_SECONDS, call)
             for entry in whole
