End a range of the store that has pages without end

Cause: a range was read until its last page; each page is limited (8 MiB), but not their number, and the same page again was not noticed.

Change: a range ends after 256 pages or 16 MiB and counts as unanswered, with the reason "too many items". PROTOCOL gives pages of about 500 items or 1 MB, so that is over ten times what 4,300 registrations take. What is known stays in force, as while the store is down.

--- a/src/agateshelf/platform/client.py
+++ b/src/agateshelf/platform/client.py
@@ -17,6 +17,10 @@
 from agateshelf.platform import items
 
 _OK = 200
+# Bounds of a range, over ten times what 4,300 registrations take, so that pages
+# without end don't fill the memory.
+_MAX_RANGE_PAGES = 256
+_MAX_RANGE_BYTES = 16 << 20
 
 BodyT = TypeVar("BodyT")
 LocatedT = TypeVar("LocatedT", items.ItemResponse, items.Events)
@@ -68,17 +72,22 @@
         Returns:
             All items as one page, with the revision of the first page. Pages
             are not a consistent snapshot, so changes made between them must be
-            watched from that revision. Pages of different eras are none.
+            watched from that revision. Pages of different eras, or without end,
+            are none.
         """
         all_items: list[items.Item] = []
+        size = 0
         revision = 0
         era: int | None = None
-        while True:
+        for _ in range(_MAX_RANGE_PAGES):
             query = _build_query(stale, prefix=prefix, after=after)
             answer = await self._get(const.PATH_RANGE, query, timeout)
             page = decode(answer, items.Page)
             if isinstance(page, fetching.NoResponse):
                 return page
+            size += _size_of(answer)
+            if size > _MAX_RANGE_BYTES:
+                break
             page_era = _era_of(answer)
             if isinstance(page_era, fetching.NoResponse):
                 return page_era
@@ -91,6 +100,7 @@
             if not more or (limit is not None and len(all_items) >= limit):
                 return items.Page(all_items, more, revision, era)
             after = page.items[-1].key
+        return fetching.NoResponse("too many items")
 
     async def watch(
         self, prefix: str, after: int, wait: float, timeout: float
@@ -149,6 +159,10 @@
     return parameters
 
 
+def _size_of(answer: fetching.Response | fetching.NoResponse) -> int:
+    return len(answer.body) if isinstance(answer, fetching.Response) else 0
+
+
 def _era_of(
     answer: fetching.Response | fetching.NoResponse,
 ) -> int | fetching.NoResponse:
--- a/tests/platform/test_feed_client.py
+++ b/tests/platform/test_feed_client.py
@@ -210,6 +210,22 @@
     assert store.requests[1][1]["after"] == "servers/a"
 
 
+@pytest.mark.parametrize("size", [10, 5_000_000])
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_a_store_that_never_ends_its_pages_is_unavailable(is_repeated, size):
+    """Guards against incident LOST: the pages filled an entry's memory."""
+
+    def script(_path, query):
+        number = 0 if is_repeated else int(query.get("after", "servers/0")[8:])
+        item = {"key": f"servers/{number + 1}", "revision": 3}
+        item["value"] = "x" * size
+        return 200, {"items": [item], "has_more": True, "current_rev": 20}
+
+    answer, store = run_effect(script, effects.ReadFeed(1, TARGETS, False, 1.0))
+    assert isinstance(answer, models.Unavailable)
+    assert len(store.requests) * size <= 24 << 20
+
+
 def test_changes_are_watched():
     events = [
         stored("servers/a", samples.TARGET, 31),
