Log how old the routes of a refusal are, and count sent bytes by kind

Refusals said by which version an entry refused, but not as of when that was known to be the newest one, and no metric told what filled a link. A refusal now has routes_age, the seconds since the reader's latest heartbeat or the latest proof; routes.adopted has the position at which they were written; each kind of message has a counter peers.sent_bytes.KIND.

No change of decisions. tests/core/feed/test_feed.py, tests/cli, tests/golden and tests/daemon/peers pass.

--- a/src/agateshelf/core/feed/adoption.py
+++ b/src/agateshelf/core/feed/adoption.py
@@ -45,6 +45,7 @@
             details=(
                 ("version", table.version),
                 ("routes", len(table.routes)),
+                ("position", table.revision),
                 ("source", source),
             ),
         ),
--- a/src/agateshelf/core/forwarding/arrivals.py
+++ b/src/agateshelf/core/forwarding/arrivals.py
@@ -5,6 +5,7 @@
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
 from agateshelf.core.dispatch import requester
+from agateshelf.core.feed import currency
 from agateshelf.core.forwarding import const
 from agateshelf.core.forwarding import finishing
 from agateshelf.core.forwarding import models
@@ -36,20 +37,20 @@
 ) -> Effects:
     """Accept a request as a call, or refuse it at once."""
     if state.routes.table is None or persistence.awaits_first_load(state):
-        return _refuse_early(state, event, refusals.not_ready())
+        return _refuse_early(state, now, event, refusals.not_ready())
     route = matching.find_route(state.routes, event.host, event.path)
     if route is None:
-        return _refuse_early(state, event, refusals.no_route())
+        return _refuse_early(state, now, event, refusals.no_route())
     identity = workspace_checks.identify(state, now, event, route)
     if isinstance(identity, outcome_models.Refusal):
-        return _refuse_early(state, event, identity)
+        return _refuse_early(state, now, event, identity)
     fingerprint = fingerprint_of(event)
     poisonous = poison_refusals.refusal_of(
         state, now, fingerprint, const.POISON_CRASHES
     )
     if poisonous is not None:
         inputs = ("fingerprint", fingerprints.short(fingerprint))
-        return _refuse_early(state, event, poisonous, inputs)
+        return _refuse_early(state, now, event, poisonous, inputs)
     if event.relay_target:
         return _on_relayed_request(
             state, now, event, route, fingerprint, identity
@@ -57,14 +58,14 @@
     overloaded = admission.refusal_of(state, now, event, route)
     if overloaded is not None:
         decided_by = admission.inputs_of(state, now, event)
-        return _refuse_early(state, event, overloaded, *decided_by)
+        return _refuse_early(state, now, event, overloaded, *decided_by)
     call = _create_call(state, now, event, route, fingerprint)
     if stop_admission.is_too_late(state, now, call.deadline):
-        return _refuse_early(state, event, refusals.stopping(call))
+        return _refuse_early(state, now, event, refusals.stopping(call))
     workspace_checks.apply(state, call, identity)
     if not regions.has_target(state, call.service, call.regions):
         refusal = region_refusals.no_allowed_region(state.rng)
-        return _refuse_early(state, event, refusal)
+        return _refuse_early(state, now, event, refusal)
     state.forwarding.calls[call.number] = call
     timers.schedule(
         state.timers, call.deadline, events.DeadlinePassed(call.number)
@@ -106,10 +107,10 @@
     """Send a request of another entry's caller to the target it names."""
     target = serving.find_target(state, now, event, identity.regions)
     if isinstance(target, outcome_models.Refusal):
-        return _refuse_early(state, event, target)
+        return _refuse_early(state, now, event, target)
     call = _create_call(state, now, event, route, fingerprint)
     if stop_admission.refuses_relayed(state, call.deadline):
-        return _refuse_early(state, event, refusals.stopping(call))
+        return _refuse_early(state, now, event, refusals.stopping(call))
     workspace_checks.apply(state, call, identity)
     call.service = target.service
     call.relayed_for = event.caller
@@ -120,7 +121,7 @@
         outcome_models.Outcome.NOT_RUN,
     )
     if refusal is not None:
-        return _refuse_early(state, event, refusal)
+        return _refuse_early(state, now, event, refusal)
     state.forwarding.calls[call.number] = call
     state.reach.relayed += 1
     timers.schedule(
@@ -148,6 +149,7 @@
 
 def _refuse_early(
     state: core_state.State,
+    now: float,
     event: events.RequestArrived,
     refusal: outcome_models.Refusal,
     *inputs: tuple[str, str | float],
@@ -157,7 +159,11 @@
     return [
         effects.Refuse(event.call, refusal),
         finishing.refusal_event(
-            event.request_id, refusal, ("routes_version", version), *inputs
+            event.request_id,
+            refusal,
+            ("routes_version", version),
+            ("routes_age", currency.age_of(state, now)),
+            *inputs,
         ),
     ]
 
--- a/src/agateshelf/daemon/peers/transport.py
+++ b/src/agateshelf/daemon/peers/transport.py
@@ -128,7 +128,7 @@
                 data = self._add_envelope(type(message), payload)
                 is_large = len(data) > const.MAX_MESSAGE_BYTES
                 if not is_large or not parts.is_divisible(message):
-                    self._send_data(peer, data)
+                    self._send_data(peer, data, type(message))
                     continue
                 divided = self._divide(payload)
             self._send_parts(peer, divided)
@@ -143,7 +143,7 @@
             self.count(const.COUNT_UNSENT, 1)
         for part in divided:
             data = self._add_envelope(messages.MessagePart, part)
-            if not self._send_data(peer, data):
+            if not self._send_data(peer, data, messages.MessagePart):
                 return
 
     def _add_envelope(
@@ -159,7 +159,9 @@
             self.own_address,
         )
 
-    def _send_data(self, peer: str, data: bytes) -> bool:
+    def _send_data(
+        self, peer: str, data: bytes, kind: type[models.PeerMessage]
+    ) -> bool:
         """Queue a message; return whether it could be queued."""
         sock = self._socket_to(peer)
         if sock is None or len(data) > const.MAX_MESSAGE_BYTES:
@@ -171,6 +173,7 @@
             self.count(const.COUNT_UNSENT, 1)
             return False
         self.count(const.COUNT_SENT_BYTES, len(data))
+        self.count(f"{const.COUNT_SENT_BYTES}.{kind.__name__}", len(data))
         return True
 
     def _socket_to(self, peer: str) -> Socket | None:
