Send entries what has changed in the routes, not whole tables

Callers saw 404 for a route 2.8 s after its acknowledgement, and almost nothing was served while the configuration was large. Cause: a reader sent the whole table to each neighbour for each version; an entry that a heartbeat showed to be behind asked for all of it at each heartbeat, while the last one was still on its way; one that heard of it from elsewhere passed it on whole to all. On links of 10 Mbit/s, 48 copies of 283 kB take 11 s, and heartbeats wait behind them: entries took their reader for lost and became readers, who read and send the table again.

Now an entry tells others what has changed since the table that they have (core/routes/changes.py), up to 8 kB at once and 32 kB if asked. Of larger changes it says that they are there, and each entry reads the store, then asks one entry at a time (core/feed/catching_up.py); an entry sends its table as a whole three times a second at most. A check asks for changes since the routes were last proven. A reader's heartbeat counts although routes are missing.

The store of the tests tells of unreadable routes by a change, as the platform does, since a check now asks for changes.

--- a/src/agateshelf/core/feed/adoption.py
+++ b/src/agateshelf/core/feed/adoption.py
@@ -37,6 +37,9 @@
         return _log_ignored(state, table, source)
     if known is not None and table.revision < known.revision:
         state.feed.proven_at = -math.inf
+    if table.revision <= state.feed.proof.proven_revision:
+        # The store had other ones at that revision.
+        state.feed.proof.proven_revision = 0
     state.pending_events.append(events.RoutesAdopted())
     return [
         effects.AdoptLimits(table.limits),
@@ -85,6 +88,20 @@
     ]
 
 
+def adopt_changes(
+    state: core_state.State, now: float, answer: models.Changes
+) -> list[effects.Effect]:
+    """Adopt changes of the routes that follow no topic."""
+    emitted = adopt_table(state, answer.table, const.SOURCE_STORE)
+    if answer.evacuations:
+        emitted.extend(
+            evacuation.adopt_changes(
+                state, now, answer.evacuations, const.SOURCE_STORE
+            )
+        )
+    return emitted
+
+
 def adopt_targets(
     state: core_state.State,
     now: float,
--- a/src/agateshelf/core/feed/checking.py
+++ b/src/agateshelf/core/feed/checking.py
@@ -18,6 +18,7 @@
 from agateshelf.core.feed import models
 from agateshelf.core.feed import proof
 from agateshelf.core.feed import relaying
+from agateshelf.core.feed import sending
 
 Effects = list[effects.Effect]
 
@@ -40,6 +41,16 @@
     feed.check_request = feed.last_request
     if proves:
         feed.proof.reads[feed.check_request] = now
+    if proves and feed.proof.proven_revision:
+        # Without a change the answer is small, however many routes there are.
+        return [
+            effects.WatchFeed(
+                feed.check_request,
+                models.Topic.ROUTES,
+                feed.proof.proven_revision,
+                const.CHECK_WAIT_SECONDS,
+            )
+        ]
     return [
         effects.ReadFeed(
             feed.check_request,
@@ -62,7 +73,7 @@
     if pending_for >= const.LOST_READ_SECONDS:
         feed.proof.reads.pop(feed.check_request, None)
         feed.check_request = 0
-    if pending_for < overdue:
+    if pending_for < overdue or now - feed.answered_at < const.HEARD_SECONDS:
         return []
     return _on_no_answer(state, models.Unavailable("no answer to a check yet"))
 
@@ -73,20 +84,24 @@
     """Handle the answer to a check; without one, hand over to a neighbour."""
     feed = state.feed
     feed.check_request = 0
+    before = state.evacuation.current
+    emitted: Effects = []
     match answer:
         case models.Unavailable():
             feed.failed_at = max(feed.failed_at, feed.checked_at)
             return _on_no_answer(state, answer)
         case models.Snapshot():
-            feed.store_unresponsive = False
-            before = state.evacuation.current
             emitted = adoption.adopt_snapshot(state, now, answer)
-            if state.evacuation.current != before:
-                emitted.extend(relaying.relay_evacuations(state))
-            return emitted
-        case _:
-            feed.store_unresponsive = False
-            return []
+        case models.Changes():
+            emitted = adoption.adopt_changes(state, now, answer)
+        case models.HistoryGone():
+            # The next check reads the routes.
+            feed.proof.proven_revision = 0
+            feed.check_at = now
+    feed.store_unresponsive = False
+    if state.evacuation.current != before:
+        emitted.extend(relaying.relay_evacuations(state))
+    return emitted
 
 
 def _on_no_answer(
@@ -98,7 +113,7 @@
     feed.store_unresponsive = True
     return [
         effects.LogEvent("store.silent", details=(("reason", answer.reason),)),
-        *relaying.send(
+        *sending.send(
             relaying.neighbours(state), relaying.heartbeat(state, leaving=True)
         ),
     ]
--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -63,6 +63,12 @@
 # read, which costs a tenth of a usual request to the store.
 CHECK_SECONDS: Final = 0.8
 CHECK_TIMEOUT_SECONDS: Final = 0.4
+# Time for which the store waits for a change before it answers a check that
+# asks for changes: the shortest there is.
+CHECK_WAIT_SECONDS: Final = 0.001
+# A store that has answered within this time isn't silent, though the answer to
+# a check may take long on a busy link.
+HEARD_SECONDS: Final = 1.0
 # Registrations that expire during an outage of the store are back about 2 s
 # after its end (the platform's description of target registration). They expire
 # after so many intervals without a heartbeat.
@@ -102,6 +108,18 @@
 MAX_ANSWERED_PROOF_SECONDS: Final = 3.0
 # Interval of an entry's own reads of the store.
 OWN_READ_SECONDS: Final = 1.0
+# Changes of routes up to this size are sent to neighbours at once, and up to
+# the other one to an entry that asks. Of larger ones an entry is told that they
+# are there; it reads the store, whose link is that much wider.
+MAX_RELAYED_BYTES: Final = 8 * 1024
+MAX_ANSWERED_BYTES: Final = 32 * 1024
+# Time for which an entry waits for newer routes as a whole, from the store and
+# from another entry, before it asks the other of these.
+STORE_ROUTES_SECONDS: Final = 0.8
+ENTRY_ROUTES_SECONDS: Final = 0.4
+# An entry sends its routes as a whole so many times at most within this time.
+MAX_WHOLE_SENT: Final = 3
+WHOLE_SENT_SECONDS: Final = 1.0
 # After the store came back from an older copy, the operator repeats within this
 # time what it has lost.
 RESTORED_PROOF_SECONDS: Final = 2.0
--- a/src/agateshelf/core/feed/currency.py
+++ b/src/agateshelf/core/feed/currency.py
@@ -21,3 +21,9 @@
     """Return the seconds since that time, -1 if none is known, for the log."""
     at = as_of(state)
     return round(max(0.0, now - at), 3) if math.isfinite(at) else _UNKNOWN
+
+
+def age_for_peers(state: core_state.State, now: float) -> float | None:
+    """Return that age for another entry; None if it isn't known."""
+    at = as_of(state)
+    return max(0.0, now - at) if math.isfinite(at) else None
--- a/src/agateshelf/core/feed/handling.py
+++ b/src/agateshelf/core/feed/handling.py
@@ -13,6 +13,7 @@
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
 from agateshelf.core.evacuation import handling as evacuation
+from agateshelf.core.feed import catching_up
 from agateshelf.core.feed import const
 from agateshelf.core.feed import models
 from agateshelf.core.feed import proof_requests
@@ -63,6 +64,7 @@
     emitted = on_removals_due(state, now)
     emitted.extend(evacuation.on_due(state, now, const.SOURCE_DEFERRED))
     emitted.extend(proof_requests.on_due(state, now))
+    emitted.extend(catching_up.on_due(state, now))
     if state.stopping:
         # It counts as leaving, so that readers send it nothing.
         return [*emitted, *relaying.request_from_neighbour(state)]
--- a/src/agateshelf/core/feed/messages.py
+++ b/src/agateshelf/core/feed/messages.py
@@ -7,6 +7,7 @@
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.evacuation import models as evacuation_models
 from agateshelf.core.peers import models as peer_models
+from agateshelf.core.routes import changes as route_changes
 from agateshelf.core.routes import models as route_models
 
 
@@ -46,6 +47,9 @@
             that its routes are the newest ones.
         routes_at: Position at which the sender's routes were written; 0 if that
             is not known.
+        takes_changes: Whether the sender can make newer routes of its own ones
+            and the changes since.
+        whole_routes: Whether it needs them as a whole.
     """
 
     wire_name: ClassVar[str] = "FeedWanted"
@@ -55,6 +59,8 @@
     evacuations_at: int = 0
     token: int = 0
     routes_at: int = 0
+    takes_changes: bool = False
+    whole_routes: bool = False
 
 
 class FeedUpdate(peer_models.PeerMessage, frozen=True):
@@ -64,14 +70,18 @@
         revision: Revision of the registrations with these changes.
         age: Seconds since the sender was last known to be current.
         base_revision: Revision that the changes are based on.
-        table: The routes, if they changed.
+        table: The routes, if they are sent as a whole.
+        table_changes: What has changed in the routes since those that the
+            receiver is taken to have.
         targets: Registrations that changed.
         removals: Targets whose registration was removed.
         evacuations: The evacuated failure domains, if they changed.
         token: Token of the request that it answers; 0 if it had none.
         proof_age: Seconds since the time as of which the sender's routes were
             shown to be the newest ones; None if that is not known.
-        proof_version: Version of these routes.
+        current_age: Seconds since the time as of which the sender takes its
+            routes for the newest ones; None if that is not known.
+        proof_version: Version of the sender's routes.
         proof_at: Position at which these routes were written; 0 if that is not
             known, so that the answer proves nothing.
         change_age: Greatest age that the changes can have, in seconds; None if
@@ -97,3 +107,5 @@
     proof_at: int = 0
     change_age: float | None = None
     registered: tuple[str, ...] | None = None
+    table_changes: route_changes.TableChanges | None = None
+    current_age: float | None = None
--- a/src/agateshelf/core/feed/models.py
+++ b/src/agateshelf/core/feed/models.py
@@ -1,5 +1,6 @@
 """Answers of the platform's store to the feed, and the feed's state."""
 
+import collections
 import dataclasses
 import enum
 import math
@@ -35,12 +36,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """The changes in a topic since a revision."""
+    """The changes in a topic since a revision.
+
+    Attributes:
+        revision: Revision of the store up to which these are all changes.
+        table: The latest routes, if they changed and can be parsed.
+        targets: Registrations and removals.
+        evacuations: Changes of the evacuated failure domains.
+        is_unreadable: Whether the routes changed to some that can't be parsed.
+    """
 
     revision: int
     table: route_models.RouteTable | None = None
     targets: tuple[directory_models.Item, ...] = ()
     evacuations: tuple[evacuation_models.Change, ...] = ()
+    is_unreadable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +142,9 @@
         era: Latest era of the store that was seen; None before the first.
         counts_from: Time before which no read counts that began earlier, since
             the store came back from an older copy.
+        proven_revision: Revision of the store as of which the routes in force
+            were shown to be its newest ones, so that only later changes are
+            asked for; 0 if they have to be read.
     """
 
     stage: ProofStage = ProofStage.IDLE
@@ -142,6 +155,28 @@
     read_at: float = -math.inf
     era: int | None = None
     counts_from: float = -math.inf
+    proven_revision: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class NewestRoutes:
+    """The newest routes that another entry is known to have.
+
+    Attributes:
+        version: Their version; 0 if none are known.
+        at: Position at which they were written; 0 if that is not known.
+        entry: The entry that told.
+        awaited_until: Time before which nobody else is asked for them.
+        asked_entry: The entry that was asked for them last.
+        reads_store: Whether the store is asked for them next, or an entry.
+    """
+
+    version: int = 0
+    at: int = 0
+    entry: str = ""
+    awaited_until: float = -math.inf
+    asked_entry: str = ""
+    reads_store: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -159,6 +194,7 @@
         reader: Neighbour that sent the latest heartbeat.
         reachable: Whether the store answered the latest read or watch.
         store_heard_at: Latest time at which the store was known to answer.
+        answered_at: Time of the latest answer of the store to this entry.
         failed_at: Time at which the store was last known not to answer.
         returned_after: Earliest time at which the store can have come back from
             its latest outage.
@@ -178,6 +214,8 @@
         proven_at: Latest time as of which the routes in force here were shown
             to be the newest ones of the store.
         proof: How that is shown.
+        newest: The newest routes that another entry is known to have.
+        whole_sent: Times at which this entry sent its routes as a whole.
         ignored_at: Position of the latest routes that were logged as ignored.
         asked_at: Time of the latest request for what a heartbeat announced.
         relayed_at: Revision up to which this reader has relayed all changes of
@@ -198,6 +236,7 @@
     reader: str | None = None
     reachable: bool = True
     store_heard_at: float = -math.inf
+    answered_at: float = -math.inf
     failed_at: float = -math.inf
     returned_after: float = -math.inf
     return_request: int = 0
@@ -213,6 +252,10 @@
     resigned_reader: str | None = None
     proven_at: float = -math.inf
     proof: ProofState = dataclasses.field(default_factory=ProofState)
+    newest: NewestRoutes = dataclasses.field(default_factory=NewestRoutes)
+    whole_sent: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
     ignored_at: int = 0
     asked_at: float = -math.inf
     relayed_at: int = 0
--- a/src/agateshelf/core/feed/proof.py
+++ b/src/agateshelf/core/feed/proof.py
@@ -107,6 +107,7 @@
     proof = state.feed.proof
     era = positions.era_of(position)
     if era > (proof.era or 0):
+        proof.proven_revision = 0
         proof.counts_from = now + const.RESTORED_PROOF_SECONDS
     proof.era = max(era, proof.era or 0)
 
@@ -138,9 +139,52 @@
     # Routes that were written later than those in force, but not adopted.
     if answer.table.revision > state.routes.table.revision:
         return
+    proof.proven_revision = answer.revision
+    _record_read(state, now, began)
+
+
+def on_store_changes(
+    state: core_state.State,
+    now: float,
+    began: float,
+    answer: models.Changes,
+) -> None:
+    """Record the proof of a check for changes, after these were adopted.
+
+    Args:
+        state: State of the entry.
+        now: Current time in seconds.
+        began: Time at which the check began.
+        answer: What has changed since the routes were last proven.
+    """
+    note_era(state, now, answer.revision)
+    if note_changes(state, answer) and began >= state.feed.proof.counts_from:
+        _record_read(state, now, began)
+
+
+def note_changes(state: core_state.State, answer: models.Changes) -> bool:
+    """Return whether the routes in force are the newest ones after changes.
+
+    The changes are all since `proven_revision`, which is moved on.
+    """
+    proof = state.feed.proof
+    table = state.routes.table
+    is_same_era = positions.era_of(answer.revision) == proof.era
+    is_newest = not answer.is_unreadable and (
+        answer.table is None
+        or (table is not None and answer.table.revision <= table.revision)
+    )
+    if not is_same_era or not is_newest or not proof.proven_revision:
+        proof.proven_revision = 0
+        return False
+    proof.proven_revision = max(proof.proven_revision, answer.revision)
+    return True
+
+
+def _record_read(state: core_state.State, now: float, began: float) -> None:
     _record(state, began)
     if now - state.feed.proven_at <= const.MAX_ANSWERED_PROOF_SECONDS:
-        proof.stage = models.ProofStage.IDLE
+        state.feed.proof.stage = models.ProofStage.IDLE
 
 
 def on_suspended(state: core_state.State, seconds: float) -> Effects:
--- a/src/agateshelf/core/feed/proof_requests.py
+++ b/src/agateshelf/core/feed/proof_requests.py
@@ -10,6 +10,7 @@
 from agateshelf.core.feed import models
 from agateshelf.core.feed import proof
 from agateshelf.core.feed import relaying
+from agateshelf.core.feed import sending
 from agateshelf.core.membership import builds
 
 Effects = list[effects.Effect]
@@ -107,7 +108,7 @@
     state.feed.proof.stage = stage
     state.feed.proof.asked_at = now
     token = proof.create_token(state, now)
-    return relaying.send([entry], relaying.create_request(state, token))
+    return sending.send([entry], sending.create_request(state, token))
 
 
 def _ask_store(state: core_state.State, now: float) -> Effects:
--- a/src/agateshelf/core/feed/reading.py
+++ b/src/agateshelf/core/feed/reading.py
@@ -13,6 +13,7 @@
 from agateshelf.core.evacuation import handling as evacuation
 from agateshelf.core.evacuation import models as evacuation_models
 from agateshelf.core.feed import adoption
+from agateshelf.core.feed import catching_up
 from agateshelf.core.feed import checking
 from agateshelf.core.feed import const
 from agateshelf.core.feed import freshness
@@ -21,6 +22,7 @@
 from agateshelf.core.feed import proof
 from agateshelf.core.feed import relaying
 from agateshelf.core.feed import removals
+from agateshelf.core.feed import sending
 
 Effects = list[effects.Effect]
 
@@ -73,7 +75,7 @@
             *relaying.neighbours(state),
             *relaying.sample_other_domains(state),
         ]
-        emitted.extend(relaying.send(recipients, relaying.heartbeat(state)))
+        emitted.extend(sending.send(recipients, relaying.heartbeat(state)))
     elif now - feed.synced_at > const.MAX_AGE_SECONDS:
         emitted.extend(relaying.request_from_other_domain(state))
     return emitted
@@ -142,7 +144,7 @@
         return []
     feed.announced = True
     feed.synced_at = now
-    return relaying.send(relaying.neighbours(state), relaying.heartbeat(state))
+    return sending.send(relaying.neighbours(state), relaying.heartbeat(state))
 
 
 def _next_request(
@@ -169,6 +171,7 @@
     feed = state.feed
     if not isinstance(event.answer, models.Unavailable):
         outages.note_heard(state, now)
+        feed.answered_at = now
     if event.request == feed.return_request:
         outages.on_return_answer(feed, event.answer)
         return []
@@ -182,8 +185,13 @@
         emitted = _on_own_read(state, now, event.answer)
     else:
         emitted = _on_topic_answer(state, now, event)
-    if began is not None and isinstance(event.answer, models.Snapshot):
-        proof.on_store_read(state, now, began, event.answer)
+    match event.answer:
+        case models.Snapshot() if began is not None:
+            proof.on_store_read(state, now, began, event.answer)
+        case models.Changes() if began is not None:
+            proof.on_store_changes(state, now, began, event.answer)
+        case _:
+            pass
     return emitted
 
 
@@ -191,7 +199,7 @@
     state: core_state.State, now: float, answer: models.FeedAnswer
 ) -> Effects:
     if not isinstance(answer, models.Snapshot):
-        return []
+        return catching_up.on_read_failed(state, now)
     return adoption.adopt_snapshot(state, now, answer)
 
 
@@ -339,6 +347,7 @@
 ) -> Effects:
     topic_state = state.feed.topics[topic]
     restored = _note_era(state, now, topic_state, answer.revision)
+    watched_from = topic_state.revision
     topic_state.revision = max(topic_state.revision, answer.revision)
     made_after = freshness.made_after(topic_state, now, answer)
     freshness.note_answer(topic_state, now, answer)
@@ -346,8 +355,12 @@
         proof.note_era(state, now, answer.revision)
         before = state.routes.table
         emitted = adoption.adopt_table(state, answer.table, const.SOURCE_STORE)
+        if isinstance(answer, models.Changes) and watched_from <= (
+            state.feed.proof.proven_revision
+        ):
+            proof.note_changes(state, answer)
         if state.routes.table is not before:
-            emitted.extend(relaying.relay(state, answer.table, ()))
+            emitted.extend(relaying.relay(state, (), before=before))
         emitted.extend(_adopt_evacuations(state, now, answer))
         return [*restored, *emitted]
     items = list(answer.targets)
@@ -443,7 +456,7 @@
     directory.note_complete(state.directory, revision)
     age = freshness.age_of(made_after, now)
     emitted = adoption.publish_changes(state, changed, source, age)
-    emitted.extend(relaying.relay(state, None, tuple(changed), age))
+    emitted.extend(relaying.relay(state, tuple(changed), age))
     return emitted
 
 
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -13,16 +13,20 @@
 from agateshelf.core.evacuation import handling as evacuation
 from agateshelf.core.evacuation import models as evacuation_models
 from agateshelf.core.feed import adoption
+from agateshelf.core.feed import catching_up
 from agateshelf.core.feed import comparison
 from agateshelf.core.feed import const
+from agateshelf.core.feed import currency
 from agateshelf.core.feed import messages
 from agateshelf.core.feed import models
 from agateshelf.core.feed import outages
 from agateshelf.core.feed import proof
 from agateshelf.core.feed import removals
+from agateshelf.core.feed import sending
 from agateshelf.core.feed import updates
 from agateshelf.core.membership import view
 from agateshelf.core.peers import models as peer_models
+from agateshelf.core.routes import changes as route_changes
 from agateshelf.core.routes import const as route_const
 from agateshelf.core.routes import matching
 from agateshelf.core.routes import models as route_models
@@ -64,37 +68,20 @@
     ]
 
 
-def routes_version(state: core_state.State) -> int:
-    """Return the version of the routes in force; 0 if there are none."""
-    table = state.routes.table
-    return 0 if table is None else table.version
-
-
-def _routes_at(state: core_state.State) -> int:
-    return matching.stamp(state.routes.table)[1]
-
-
 def heartbeat(
     state: core_state.State, *, leaving: bool = False
 ) -> messages.FeedHeartbeat:
     """Return a heartbeat with the versions this entry has read."""
     return messages.FeedHeartbeat(
-        routes_version(state),
+        sending.routes_version(state),
         state.directory.revision,
         leaving,
         state.evacuation.current.position,
-        _routes_at(state),
+        sending.routes_at(state),
         comparison.digest(state),
     )
 
 
-def send(entries: list[str], message: peer_models.PeerMessage) -> Effects:
-    """Return the effect that sends a message; none without recipients."""
-    if not entries:
-        return []
-    return [effects.SendToPeers(tuple(entries), message)]
-
-
 def request_from_neighbour(state: core_state.State) -> Effects:
     """Request changes from the reader of this entry's failure domain.
 
@@ -106,7 +93,7 @@
         return request_from_other_domain(state)
     reader = state.feed.reader
     asked = reader if reader in others else state.rng.choice(sorted(others))
-    return send([asked], create_request(state))
+    return sending.send([asked], sending.create_request(state))
 
 
 def request_from_other_domain(state: core_state.State) -> Effects:
@@ -119,43 +106,27 @@
     )
     if not others:
         return []
-    return send([state.rng.choice(others)], create_request(state))
-
-
-def create_request(
-    state: core_state.State, token: int = 0
-) -> messages.FeedRequest:
-    """Return a request for what this entry doesn't have yet.
-
-    Args:
-        state: State of the entry.
-        token: Token of a request for proof; 0 if none is wanted.
-    """
-    return messages.FeedRequest(
-        routes_version(state),
-        state.directory.revision,
-        state.evacuation.current.position,
-        token,
-        _routes_at(state),
+    return sending.send(
+        [state.rng.choice(others)], sending.create_request(state)
     )
 
 
 def relay(
     state: core_state.State,
-    table: route_models.RouteTable | None,
     changed: tuple[directory_models.Item, ...],
     change_age: float | None = None,
+    before: route_models.RouteTable | None = None,
 ) -> Effects:
     """Send changes to the neighbours if this entry is the reader.
 
     Args:
         state: State of the entry.
-        table: The routes, if they changed.
         changed: Registrations and removals.
         change_age: Greatest age that these can have, in seconds; None if it is
             not known.
+        before: The routes that were in force before, if they changed.
     """
-    if not state.feed.is_reader or (table is None and not changed):
+    if not state.feed.is_reader or (before is None and not changed):
         return []
     if not state.feed.relayed_at:
         # The first update says that it is complete from the beginning, also to
@@ -168,20 +139,37 @@
         revision=state.directory.revision,
         age=0.0,
         base_revision=state.feed.relayed_at,
-        table=table,
         targets=targets,
         removals=removed,
         change_age=change_age,
+        proof_version=sending.routes_version(state),
+        proof_at=sending.routes_at(state),
+        table_changes=_changes_since(state, before, const.MAX_RELAYED_BYTES),
     )
     state.feed.relayed_at = state.directory.revision
-    return send(neighbours(state), update)
+    return sending.send(neighbours(state), update)
+
+
+def _changes_since(
+    state: core_state.State,
+    before: route_models.RouteTable | None,
+    max_bytes: int,
+) -> route_changes.TableChanges | None:
+    """Return what the routes in force have changed, unless that is too much."""
+    table = state.routes.table
+    if table is None or before is None or before is table:
+        return None
+    changes = route_changes.between(before, table)
+    if changes is None or route_changes.size_of(changes) > max_bytes:
+        return None
+    return changes
 
 
 def relay_evacuations(state: core_state.State) -> Effects:
     """Send the evacuations to the neighbours if this entry is the reader."""
     if not state.feed.is_reader:
         return []
-    return send(neighbours(state), evacuations_update(state))
+    return sending.send(neighbours(state), evacuations_update(state))
 
 
 def tell_evacuations(
@@ -194,7 +182,7 @@
     if now - told_at.get(entry, -math.inf) < _TELL_SECONDS:
         return []
     told_at[entry] = now
-    return send([entry], evacuations_update(state))
+    return sending.send([entry], evacuations_update(state))
 
 
 def evacuations_update(state: core_state.State) -> messages.FeedUpdate:
@@ -245,28 +233,25 @@
     is_awaited = behind and now - feed.asked_at < const.ASKED_SECONDS
     emitted.extend(_get_anew(state, now, peer, heartbeat))
     lacks_routes = heartbeat.evacuations_at > position
-    lacks_routes = lacks_routes or _is_behind(
+    lacks_routes = lacks_routes or catching_up.is_behind(
         state, heartbeat.version, heartbeat.routes_at
     )
     # A reader of an earlier version doesn't know of evacuations. One of this
     # version then reads beside it.
     knows_evacuations = heartbeat.evacuations_at > 0
     if lacks_routes or (behind and not is_awaited):
-        request = create_request(state)
+        request = sending.create_request(state)
         if is_awaited:
             request = msgspec.structs.replace(
                 request, revision=heartbeat.revision
             )
         feed.asked_at = now
-        emitted.extend(send([peer], request))
-    elif (
-        not behind
-        and not feed.is_reader
-        and knows_evacuations
-        and _is_neighbour(state, peer)
-    ):
+        emitted.extend(sending.send([peer], request))
+    is_told = not behind and knows_evacuations and _is_neighbour(state, peer)
+    if is_told and not feed.is_reader:
         # Those of other failure domains reach some entry of this one at each
-        # interval, and would keep each from taking over for seconds.
+        # interval, and would keep each from taking over for seconds. Routes
+        # that are missing are got without becoming the reader.
         feed.synced_at = now
     if not _is_neighbour(state, peer) or not knows_evacuations:
         return emitted
@@ -295,21 +280,8 @@
     if is_reader:
         state.pending_events.append(models.TargetsReadWanted())
         return []
-    request = msgspec.structs.replace(create_request(state), revision=0)
-    return send([peer], request)
-
-
-def _is_behind(state: core_state.State, version: int, at: int) -> bool:
-    """Return whether a reader's routes are newer than those in force.
-
-    Whether the same version of a restored store is newer is not known before it
-    was compared, and a position that is not known can't be compared.
-    """
-    known_version, known_at = matching.stamp(state.routes.table)
-    if version != known_version or not known_at:
-        return version > known_version
-    same_era = positions.era_of(at) == positions.era_of(known_at)
-    return same_era and at > known_at
+    request = msgspec.structs.replace(sending.create_request(state), revision=0)
+    return sending.send([peer], request)
 
 
 def _stop_reading(state: core_state.State, peer: str) -> Effects:
@@ -331,7 +303,7 @@
     state.feed.is_reader = False
     return [
         effects.StopFeed(),
-        *send(neighbours(state), heartbeat(state, leaving=True)),
+        *sending.send(neighbours(state), heartbeat(state, leaving=True)),
     ]
 
 
@@ -342,8 +314,17 @@
     request: messages.FeedRequest,
 ) -> Effects:
     table = state.routes.table
+    table_changes: route_changes.TableChanges | None = None
     if table is not None and not _lacks(request, table):
         table = None
+    elif request.takes_changes and not request.whole_routes:
+        before = matching.find_earlier(
+            state.routes, request.version, request.routes_at
+        )
+        table = None
+        table_changes = _changes_since(state, before, const.MAX_ANSWERED_BYTES)
+    elif table is not None and not catching_up.may_send_whole(state, now):
+        table = None
     targets, removed = renewals.changed_since(
         state.directory, now, request.revision
     )
@@ -357,11 +338,13 @@
         evacuations=_evacuations_after(state, request.evacuations_at),
         token=request.token,
         proof_age=proof.age_of(state, now) if request.token else None,
-        proof_version=routes_version(state),
-        proof_at=_routes_at(state),
+        proof_version=sending.routes_version(state),
+        proof_at=sending.routes_at(state),
         registered=directory.registered(state.directory, request.revision),
+        table_changes=table_changes,
+        current_age=currency.age_for_peers(state, now),
     )
-    return send([peer], update)
+    return sending.send([peer], update)
 
 
 def _lacks(
@@ -387,7 +370,8 @@
     state: core_state.State, now: float, peer: str, update: messages.FeedUpdate
 ) -> Effects:
     feed = state.feed
-    emitted = _adopt_table(state, update.table)
+    before = state.routes.table
+    emitted = _adopt_table(state, _table_of(state, update))
     emitted.extend(_adopt_evacuations(state, now, peer, update.evacuations))
     items: tuple[directory_models.Item, ...] = (
         *update.targets,
@@ -410,10 +394,15 @@
         proof.on_answer(state, now, update)
     is_neighbour = _is_neighbour(state, peer)
     if emitted and not is_neighbour:
-        news = updates.reduce(state, update, changed)
-        emitted.extend([] if news is None else send(neighbours(state), news))
+        emitted.extend(_pass_on(state, update, changed, before))
+    if update.proof_version:
+        emitted.extend(
+            catching_up.on_newer(
+                state, now, peer, update.proof_version, update.proof_at
+            )
+        )
     if update.base_revision > state.directory.revision:
-        return [*emitted, *send([peer], create_request(state))]
+        return [*emitted, *sending.send([peer], sending.create_request(state))]
     directory.note_complete(state.directory, update.revision)
     if changed:
         # Not relayed as the reader: neighbours that lack it must ask.
@@ -426,6 +415,42 @@
     return emitted
 
 
+def _table_of(
+    state: core_state.State, update: messages.FeedUpdate
+) -> route_models.RouteTable | None:
+    """Return the routes that an update brings, whole or as changes."""
+    changes = update.table_changes
+    known = state.routes.table
+    if changes is None or known is None:
+        return update.table
+    return route_changes.apply(known, changes)
+
+
+def _pass_on(
+    state: core_state.State,
+    update: messages.FeedUpdate,
+    changed: list[directory_models.Item],
+    before: route_models.RouteTable | None,
+) -> Effects:
+    """Tell the neighbours what another failure domain has told."""
+    news = updates.reduce(state, update, changed)
+    is_newer = state.routes.table is not before
+    if news is None and not is_newer:
+        return []
+    if news is None:
+        news = messages.FeedUpdate(0, _NEVER_SECONDS, 0)
+    if is_newer:
+        news = msgspec.structs.replace(
+            news,
+            proof_version=sending.routes_version(state),
+            proof_at=sending.routes_at(state),
+            table_changes=_changes_since(
+                state, before, const.MAX_RELAYED_BYTES
+            ),
+        )
+    return sending.send(neighbours(state), news)
+
+
 def _missing(
     state: core_state.State, now: float, update: messages.FeedUpdate
 ) -> tuple[list[directory_models.Item], Effects]:
@@ -461,7 +486,7 @@
     is_complete = table.format >= route_const.TABLE_FORMAT
     if is_complete and (table.revision or not is_proved):
         return adoption.adopt_table(state, table, const.SOURCE_PEER)
-    if table.version > routes_version(state):
+    if table.version > sending.routes_version(state):
         state.pending_events.append(models.OwnReadWanted())
     return []
 
@@ -478,7 +503,9 @@
     current = state.evacuation.current
     if known.position < current.position:
         is_same = set(known.failure_domains) == set(current.failure_domains)
-        return [] if is_same else send([peer], evacuations_update(state))
+        return (
+            [] if is_same else sending.send([peer], evacuations_update(state))
+        )
     return evacuation.adopt(state, now, known, const.SOURCE_PEER)
 
 
--- a/src/agateshelf/core/feed/startup.py
+++ b/src/agateshelf/core/feed/startup.py
@@ -12,6 +12,7 @@
 from agateshelf.core.feed import const
 from agateshelf.core.feed import models
 from agateshelf.core.feed import relaying
+from agateshelf.core.feed import sending
 
 Effects = list[effects.Effect]
 
@@ -40,7 +41,7 @@
     if not known or event.attempt % 2 == 0:
         return relaying.request_from_other_domain(state)
     chosen = state.rng.choice(known)
-    return relaying.send([chosen], relaying.create_request(state))
+    return sending.send([chosen], sending.create_request(state))
 
 
 def _knows_all(state: core_state.State) -> bool:
--- a/src/agateshelf/core/feed/updates.py
+++ b/src/agateshelf/core/feed/updates.py
@@ -44,16 +44,20 @@
     if not update.base_revision:
         changed = []
     targets, removed = divide(state, changed)
-    if not (targets or removed or update.table or update.evacuations):
+    if not (targets or removed or update.evacuations):
         return None
     return msgspec.structs.replace(
         update,
         revision=0,
         base_revision=0,
+        table=None,
+        table_changes=None,
         targets=targets,
         removals=removed,
         token=0,
         proof_age=None,
+        current_age=None,
+        proof_version=0,
         proof_at=0,
         registered=None,
     )
--- a/src/agateshelf/core/routes/matching.py
+++ b/src/agateshelf/core/routes/matching.py
@@ -3,13 +3,18 @@
 import dataclasses
 
 from agateshelf.core import positions
+from agateshelf.core.routes import changes
 from agateshelf.core.routes import models
 
 
 def adopt(routes: models.RoutesState, table: models.RouteTable) -> bool:
     """Replace the route table if the given one is newer; return whether so."""
-    if routes.table is not None and not _is_newer(table, routes.table):
-        return False
+    known = routes.table
+    if known is not None:
+        if not _is_newer(table, known):
+            return False
+        table = changes.share_items(table, known)
+        routes.earlier.append(known)
     by_host: dict[str, list[models.Route]] = {}
     for route in table.routes:
         by_host.setdefault(route.host.lower(), []).append(route)
@@ -49,6 +54,21 @@
     return (0, 0) if table is None else (table.version, table.revision)
 
 
+def find_earlier(
+    routes: models.RoutesState, version: int, revision: int
+) -> models.RouteTable | None:
+    """Return the table of a version and position that was in force before.
+
+    Return None if it isn't kept, or its position isn't known.
+    """
+    if not revision:
+        return None
+    for table in routes.earlier:
+        if stamp(table) == (version, revision):
+            return table
+    return None
+
+
 def find_route(
     routes: models.RoutesState, host: str, path: str
 ) -> models.Route | None:
--- a/src/agateshelf/core/routes/models.py
+++ b/src/agateshelf/core/routes/models.py
@@ -1,7 +1,10 @@
 """Models of a validated route table, and the state of routing by it."""
 
+import collections
 import dataclasses
 
+from agateshelf.core.routes import const
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Share:
@@ -142,6 +145,7 @@
             share with the most credit gets the next request.
         longest_timeouts: Longest timeout that callers announced, by route
             name; a caller that announces a shorter one is taken for a retry.
+        earlier: Tables that were in force before, the latest last.
     """
 
     table: RouteTable | None = None
@@ -150,3 +154,8 @@
     )
     credits: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     longest_timeouts: dict[str, float] = dataclasses.field(default_factory=dict)
+    earlier: collections.deque[RouteTable] = dataclasses.field(
+        default_factory=lambda: collections.deque(
+            maxlen=const.MAX_EARLIER_TABLES
+        )
+    )
--- a/src/agateshelf/platform/feed.py
+++ b/src/agateshelf/platform/feed.py
@@ -188,10 +188,20 @@
         match effect.topic:
             case feed_models.Topic.ROUTES:
                 table = self._decode_routes(body.events)
+                written_at = max(
+                    (
+                        item.revision
+                        for item in body.events
+                        if item.key == const.KEY_ROUTES
+                    ),
+                    default=0,
+                )
+                read_at = 0 if table is None else table.revision
                 return feed_models.Changes(
                     body.current_rev,
                     table,
                     evacuations=self._decode_evacuations(body.events),
+                    is_unreadable=read_at < written_at,
                 )
             case feed_models.Topic.TARGETS:
                 targets = self._decode_targets(body.events)
--- a/tests/core/feed/test_withdrawn_keys.py
+++ b/tests/core/feed/test_withdrawn_keys.py
@@ -60,8 +60,7 @@
         item = items.Item("op/config", self.revision + 1, data)
         table = documents.decode_route_table([item])
         if table is None:
-            self.revision += 1
-            self.table = None
+            self.write_unreadable()
         else:
             self.change(table=table)
 
--- a/tests/core/routed_fleet.py
+++ b/tests/core/routed_fleet.py
@@ -28,6 +28,8 @@
 
 MESSAGE_SECONDS = 0.002
 STORE_SECONDS = 0.004
+# Stands among the changes of the store for routes that can't be read.
+UNREADABLE = "unreadable"
 LIMITS = route_models.Limits(16384, 1 << 20, 3.0, 15.0)
 
 
@@ -323,6 +325,13 @@
             self.changes.append((self.revision, "routes", self.table))
         self._serve_watches()
 
+    def write_unreadable(self):
+        """Write routes that can't be read to the store."""
+        self.revision += 1
+        self.table = None
+        self.changes.append((self.revision, "routes", UNREADABLE))
+        self._serve_watches()
+
     def _serve_watches(self):
         for node, effect in list(self.watches):
             if node.watch_stalled or node.store_silent:
@@ -351,6 +360,7 @@
                         for one in changed
                         if isinstance(one, evacuation_models.Change)
                     ),
+                    is_unreadable=UNREADABLE in changed,
                 )
             event = events.FeedAnswered(effect.request, answer)
             self.at(self.now + self.store_seconds, self.post, node, event)
