Refuse for good only by routes that are known to be the newest ones

Callers got 404 for a route, or would get 401 for a key, that had been in force for longer than a change may take, from an entry that lacked the news. Cause: a 404 asked nothing of the age of the routes, and a 401 only for a proof that holds for 4.8 s; what an entry doesn't know was taken for what isn't there.

An entry now decides so only if its routes were the newest ones at most 1.5 s before the request arrived (core/confirmation, core/feed/currency.py): by a read of the store, an answer to a request of its own, dated at its sending, or, at a reader without proofs, its watch. Else the request is held, at most 0.5 s, while the reader, then another entry and the store are asked, and decided again. If nobody confirms, it is refused with 503, not run, and those after it at once. One question is open at a time, whatever the number of requests.

--- a/src/agateshelf/core/events.py
+++ b/src/agateshelf/core/events.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from agateshelf.core import storage
+from agateshelf.core.confirmation import models as confirmation_models
 from agateshelf.core.dispatch import models as dispatch_models
 from agateshelf.core.feed import models as feed_models
 from agateshelf.core.membership import models as membership_models
@@ -55,6 +56,7 @@
             if that entry named none.
         waited: Seconds that it may have waited in its socket; 0 if that is not
             long.
+        held: Seconds for which this entry has held it since it was read.
     """
 
     call: int
@@ -72,6 +74,7 @@
     key_malformed: bool = False
     relay_workspace: str | None = None
     waited: float = 0.0
+    held: float = 0.0
 
 
 class CallerDisconnected(msgspec.Struct, frozen=True):
@@ -713,6 +716,8 @@
     | reach_models.SilenceDue
     | reach_models.RecheckDue
     | DispatchDecided
+    | confirmation_models.ConfirmationDue
+    | confirmation_models.RoutesConfirmed
     | feed_models.FeedDue
     | feed_models.ReaderResigned
     | feed_models.RemovalsDue
--- a/src/agateshelf/core/feed/adoption.py
+++ b/src/agateshelf/core/feed/adoption.py
@@ -37,6 +37,7 @@
         return _log_ignored(state, table, source)
     if known is not None and table.revision < known.revision:
         state.feed.proven_at = -math.inf
+        state.feed.confirmed_at = -math.inf
     if table.revision <= state.feed.proof.proven_revision:
         # The store had other ones at that revision.
         state.feed.proof.proven_revision = 0
--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -106,6 +106,8 @@
 # An answer whose proof is older than this is taken for none, so that another
 # entry is asked while there is time.
 MAX_ANSWERED_PROOF_SECONDS: Final = 3.0
+# Time for which the token of a request is kept if keys need no proof.
+TOKEN_SECONDS: Final = 5.0
 # Interval of an entry's own reads of the store.
 OWN_READ_SECONDS: Final = 1.0
 # Changes of routes up to this size are sent to neighbours at once, and up to
--- a/src/agateshelf/core/feed/models.py
+++ b/src/agateshelf/core/feed/models.py
@@ -213,7 +213,9 @@
             reader.
         proven_at: Latest time as of which the routes in force here were shown
             to be the newest ones of the store.
-        proof: How that is shown.
+        confirmed_at: Latest time as of which other entries took these for the
+            newest ones.
+        proof: How proof is had.
         newest: The newest routes that another entry is known to have.
         whole_sent: Times at which this entry sent its routes as a whole.
         ignored_at: Position of the latest routes that were logged as ignored.
@@ -251,6 +253,7 @@
     store_unresponsive: bool = False
     resigned_reader: str | None = None
     proven_at: float = -math.inf
+    confirmed_at: float = -math.inf
     proof: ProofState = dataclasses.field(default_factory=ProofState)
     newest: NewestRoutes = dataclasses.field(default_factory=NewestRoutes)
     whole_sent: collections.deque[float] = dataclasses.field(
--- a/src/agateshelf/core/feed/proof.py
+++ b/src/agateshelf/core/feed/proof.py
@@ -13,6 +13,7 @@
 from agateshelf.core import effects
 from agateshelf.core import positions
 from agateshelf.core import state as core_state
+from agateshelf.core.confirmation import models as confirmation_models
 from agateshelf.core.feed import const
 from agateshelf.core.feed import messages
 from agateshelf.core.feed import models
@@ -54,7 +55,7 @@
 def create_token(state: core_state.State, now: float) -> int:
     """Return the token of a request for proof that is sent now."""
     proof = state.feed.proof
-    oldest = now - (state.revocation_seconds or 0.0)
+    oldest = now - (state.revocation_seconds or const.TOKEN_SECONDS)
     proof.tokens = {t: at for t, at in proof.tokens.items() if at >= oldest}
     token = state.rng.getrandbits(_TOKEN_BITS) + 1
     proof.tokens[token] = now
@@ -81,6 +82,21 @@
         feed.proof.asked_at = -math.inf
 
 
+def confirm(state: core_state.State, at: float) -> None:
+    """Note that the routes in force were the newest ones at a time.
+
+    It is no proof: whoever told it may have relied on what others announced.
+    """
+    feed = state.feed
+    feed.confirmed_at = max(feed.confirmed_at, at)
+    _tell_confirmed(state)
+
+
+def _tell_confirmed(state: core_state.State) -> None:
+    if state.confirmation.held:
+        state.pending_events.append(confirmation_models.RoutesConfirmed())
+
+
 def _is_proof(state: core_state.State, update: messages.FeedUpdate) -> bool:
     table = state.routes.table
     age = update.proof_age
@@ -95,6 +111,7 @@
 
 def _record(state: core_state.State, at: float) -> None:
     state.feed.proven_at = max(state.feed.proven_at, at)
+    _tell_confirmed(state)
 
 
 def note_era(state: core_state.State, now: float, position: int) -> None:
@@ -191,6 +208,7 @@
     """Age the proof, and the requests for it, by the time of a suspension."""
     feed = state.feed
     feed.proven_at -= seconds
+    feed.confirmed_at -= seconds
     feed.proof.tokens = {
         token: at - seconds for token, at in feed.proof.tokens.items()
     }
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -342,7 +342,7 @@
         proof_at=sending.routes_at(state),
         registered=directory.registered(state.directory, request.revision),
         table_changes=table_changes,
-        current_age=currency.age_for_peers(state, now),
+        current_age=currency.age_of(state, now),
     )
     return sending.send([peer], update)
 
@@ -390,8 +390,10 @@
             state, changed, const.SOURCE_PEER, update.change_age
         )
     )
-    if update.token:
+    sent_at = feed.proof.tokens.get(update.token)
+    if sent_at is not None:
         proof.on_answer(state, now, update)
+        currency.on_answer(state, sent_at, update)
     is_neighbour = _is_neighbour(state, peer)
     if emitted and not is_neighbour:
         emitted.extend(_pass_on(state, update, changed, before))
--- a/src/agateshelf/core/forwarding/arrivals.py
+++ b/src/agateshelf/core/forwarding/arrivals.py
@@ -4,6 +4,7 @@
 from agateshelf.core import events
 from agateshelf.core import state as core_state
 from agateshelf.core import timers
+from agateshelf.core.confirmation import handling as confirmation
 from agateshelf.core.dispatch import requester
 from agateshelf.core.feed import currency
 from agateshelf.core.forwarding import const
@@ -35,7 +36,10 @@
 def on_request(
     state: core_state.State, now: float, event: events.RequestArrived
 ) -> Effects:
-    """Accept a request as a call, or refuse it at once."""
+    """Accept a request as a call, refuse it, or hold it.
+
+    One that would be refused for good is held until the routes are confirmed.
+    """
     if state.routes.table is None or persistence.awaits_first_load(state):
         return _refuse_early(state, now, event, refusals.not_ready())
     route = matching.find_route(state.routes, event.host, event.path)
@@ -154,17 +158,22 @@
     refusal: outcome_models.Refusal,
     *inputs: tuple[str, str | float],
 ) -> Effects:
+    reviewed, asked = confirmation.review(state, now, event, refusal)
+    if reviewed is None:
+        return asked
     table = state.routes.table
     version = 0 if table is None else table.version
     return [
-        effects.Refuse(event.call, refusal),
+        *asked,
+        effects.Refuse(event.call, reviewed),
         finishing.refusal_event(
             event.request_id,
-            refusal,
+            reviewed,
             ("routes_version", version),
-            ("routes_age", currency.age_of(state, now)),
+            ("routes_age", currency.logged_age(state, now)),
             *inputs,
         ),
+        *(finishing.exit_if_idle(state) if event.held else ()),
     ]
 
 
@@ -176,7 +185,7 @@
     fingerprint: bytes,
 ) -> models.Call:
     timeout = event.timeout or route.timeout
-    arrived = now - event.waited
+    arrived = now - event.waited - event.held
     # The time that it may have waited is a bound; it may have come at its end.
     counted_wait = max(0.0, event.waited - const.MAX_UNCERTAIN_SECONDS)
     return models.Call(
@@ -188,7 +197,10 @@
         caller=event.caller,
         arrived=arrived,
         soft_deadline=arrived + _soft_timeout(state.routes, route, timeout),
-        deadline=now - counted_wait + _time_limit(event, route, timeout),
+        deadline=now
+        - event.held
+        - counted_wait
+        + _time_limit(event, route, timeout),
         key_digest=event.key_digest,
         uncounted_wait=event.waited - counted_wait,
     )
--- a/src/agateshelf/core/forwarding/finishing.py
+++ b/src/agateshelf/core/forwarding/finishing.py
@@ -153,7 +153,8 @@
 
 def exit_if_idle(state: core_state.State) -> Effects:
     """Return the exit effect once a stopping entry has no calls left."""
-    if not state.stopping or state.forwarding.calls:
+    has_calls = bool(state.forwarding.calls or state.confirmation.held)
+    if not state.stopping or has_calls:
         return []
     return [effects.Exit()]
 
--- a/src/agateshelf/core/route_reducer.py
+++ b/src/agateshelf/core/route_reducer.py
@@ -3,6 +3,8 @@
 from agateshelf.core import effects
 from agateshelf.core import events
 from agateshelf.core import state as core_state
+from agateshelf.core.confirmation import handling as confirmation
+from agateshelf.core.confirmation import models as confirmation_models
 from agateshelf.core.dispatch import dispatchers
 from agateshelf.core.dispatch import idle_connections
 from agateshelf.core.dispatch import models as dispatch_models
@@ -69,7 +71,12 @@
         case events.IdleConnectionsClosed():
             idle_connections.on_closed(state, event)
             return []
+        case confirmation_models.ConfirmationDue():
+            return confirmation.on_due(state, now)
+        case confirmation_models.RoutesConfirmed():
+            return confirmation.on_routes(state, now)
         case events.CallerDisconnected():
+            confirmation.forget(state, event.call)
             return finishing.on_caller_disconnected(state, now, event)
         case events.DeadlinePassed():
             return finishing.on_deadline(state, now, event)
@@ -145,6 +152,7 @@
                 *quota_replication.on_routes(state, now),
                 *proof_requests.on_changed(state, now),
                 *dispatchers.start_owned(state, now),
+                *confirmation.on_routes(state, now),
             ]
         case events.EvacuationsChanged():
             return dispatchers.on_evacuations(state, now, event)
--- a/src/agateshelf/core/state.py
+++ b/src/agateshelf/core/state.py
@@ -8,6 +8,7 @@
 
 from agateshelf.core import events
 from agateshelf.core import timers
+from agateshelf.core.confirmation import models as confirmation_models
 from agateshelf.core.directory import models as directory_models
 from agateshelf.core.dispatch import models as dispatch_models
 from agateshelf.core.evacuation import models as evacuation_models
@@ -103,6 +104,9 @@
     feed: feed_models.FeedState = dataclasses.field(
         default_factory=feed_models.FeedState
     )
+    confirmation: confirmation_models.ConfirmationState = dataclasses.field(
+        default_factory=confirmation_models.ConfirmationState
+    )
     evacuation: evacuation_models.EvacuationState = dataclasses.field(
         default_factory=evacuation_models.EvacuationState
     )
