--- a/src/agateshelf/core/confirmation/handling.py
+++ b/src/agateshelf/core/confirmation/handling.py
@@ -97,9 +97,8 @@
     others = sorted(
         {*state.membership.failure_domains} - {state.identity.entry}
     )
-    elsewhere = [
-        entry for entry in others if entry not in relaying.neighbours(state)
-    ]
+    neighbours = set(relaying.neighbours(state))
+    elsewhere = [entry for entry in others if entry not in neighbours]
     return state.rng.choice(elsewhere or others or [""])
 
 
--- a/src/agateshelf/core/feed/catching_up.py
+++ b/src/agateshelf/core/feed/catching_up.py
@@ -79,16 +79,12 @@
 
 def _ask_entry(state: core_state.State, now: float) -> Effects:
     """Ask an entry for its routes as a whole."""
-    others = sorted(state.membership.failure_domains.keys())
-    others = [one for one in others if one != state.identity.entry]
-    told_by = state.feed.newest.entry
-    if told_by and (not others or state.rng.random() < 0.5):
-        chosen = told_by
-    elif others:
-        chosen = state.rng.choice(others)
-    else:
-        return []
     newest = state.feed.newest
+    others = sorted(
+        {*state.membership.failure_domains} - {state.identity.entry}
+    )
+    asks_teller = not others or state.rng.random() < const.ASK_TELLER_SHARE
+    chosen = newest.entry if asks_teller else state.rng.choice(others)
     newest.reads_store = True
     newest.asked_entry = chosen
     newest.awaited_until = now + const.ENTRY_ROUTES_SECONDS
--- a/src/agateshelf/core/feed/const.py
+++ b/src/agateshelf/core/feed/const.py
@@ -119,6 +119,9 @@
 # from another entry, before it asks the other of these.
 STORE_ROUTES_SECONDS: Final = 0.8
 ENTRY_ROUTES_SECONDS: Final = 0.4
+# Share of the questions that go to the entry which told of newer routes; the
+# rest goes to others, which may have them by now.
+ASK_TELLER_SHARE: Final = 0.5
 # An entry sends its routes as a whole so many times at most within this time.
 MAX_WHOLE_SENT: Final = 3
 WHOLE_SENT_SECONDS: Final = 1.0
