Ask for changes of routes that were lost before the store is read

An entry that missed one message with changes read the whole configuration from the store at the next one, as the changes in it were none of its routes. It asks the sender for the changes since its own first; an update says whether it is an answer. Entries of earlier builds, which always need whole tables, don't count towards the limit on these.

The tests of the feed, of refusals, messages and builds pass.

--- a/src/agateshelf/core/feed/catching_up.py
+++ b/src/agateshelf/core/feed/catching_up.py
@@ -12,6 +12,7 @@
 from agateshelf.core import positions
 from agateshelf.core import state as core_state
 from agateshelf.core.feed import const
+from agateshelf.core.feed import messages
 from agateshelf.core.feed import models
 from agateshelf.core.feed import sending
 from agateshelf.core.routes import matching
@@ -32,11 +33,15 @@
     return same_era and at > known_at
 
 
-def on_newer(
-    state: core_state.State, now: float, peer: str, version: int, at: int
+def on_update(
+    state: core_state.State, now: float, peer: str, update: messages.FeedUpdate
 ) -> Effects:
-    """Note that another entry has newer routes, and read the store."""
+    """Get newer routes that an update speaks of, but doesn't bring.
+
+    The sender of an update that answers nothing is asked for changes first.
+    """
     newest = state.feed.newest
+    version, at = update.proof_version, update.proof_at
     if not is_behind(state, version, at):
         if peer == newest.asked_entry:
             # It has none that are newer, so that the next one is asked soon.
@@ -46,7 +51,10 @@
     if (version, at) != (newest.version, newest.at):
         newest.reads_store = True
     newest.version, newest.at, newest.entry = version, at, peer
-    return _get(state, now)
+    if update.is_answer:
+        return _get(state, now)
+    # The timer goes on if the answer is lost.
+    return sending.send([peer], sending.create_request(state))
 
 
 def on_due(state: core_state.State, now: float) -> Effects:
--- a/src/agateshelf/core/feed/messages.py
+++ b/src/agateshelf/core/feed/messages.py
@@ -88,6 +88,8 @@
             it is not known.
         registered: Identifiers of all targets that the sender knows; None if
             `removals` has each that was removed after `base_revision`.
+        is_answer: Whether it answers a request of the receiver, so that it has
+            all changes of the routes that the sender can tell.
     """
 
     wire_name: ClassVar[str] = "FeedNews"
@@ -109,3 +111,4 @@
     registered: tuple[str, ...] | None = None
     table_changes: route_changes.TableChanges | None = None
     current_age: float | None = None
+    is_answer: bool = False
--- a/src/agateshelf/core/feed/relaying.py
+++ b/src/agateshelf/core/feed/relaying.py
@@ -323,7 +323,11 @@
         )
         table = None
         table_changes = _changes_since(state, before, const.MAX_ANSWERED_BYTES)
-    elif table is not None and not catching_up.may_send_whole(state, now):
+    elif (
+        table is not None
+        and request.takes_changes
+        and not catching_up.may_send_whole(state, now)
+    ):
         table = None
     targets, removed = renewals.changed_since(
         state.directory, now, request.revision
@@ -343,6 +347,7 @@
         registered=directory.registered(state.directory, request.revision),
         table_changes=table_changes,
         current_age=currency.age_of(state, now),
+        is_answer=True,
     )
     return sending.send([peer], update)
 
@@ -398,11 +403,7 @@
     if emitted and not is_neighbour:
         emitted.extend(_pass_on(state, update, changed, before))
     if update.proof_version:
-        emitted.extend(
-            catching_up.on_newer(
-                state, now, peer, update.proof_version, update.proof_at
-            )
-        )
+        emitted.extend(catching_up.on_update(state, now, peer, update))
     if update.base_revision > state.directory.revision:
         return [*emitted, *sending.send([peer], sending.create_request(state))]
     directory.note_complete(state.directory, update.revision)
--- a/src/agateshelf/core/feed/updates.py
+++ b/src/agateshelf/core/feed/updates.py
@@ -60,4 +60,5 @@
         proof_version=0,
         proof_at=0,
         registered=None,
+        is_answer=False,
     )
