--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -241,12 +241,12 @@
             Edit(
                 f"{_CORE}/feed/relaying.py",
                 "if not state.feed.is_reader or "
-                "(table is None and not changed):",
+                "(before is None and not changed):",
                 "if True:",
             ),
             Edit(
                 f"{_CORE}/feed/relaying.py",
-                "lacks_routes or _is_behind(\n"
+                "lacks_routes or catching_up.is_behind(\n"
                 "        state, heartbeat.version, heartbeat.routes_at\n"
                 "    )",
                 "lacks_routes",
@@ -256,6 +256,11 @@
                 "if table is not None and not _lacks(request, table):",
                 "if True:",
             ),
+            Edit(
+                f"{_CORE}/feed/catching_up.py",
+                "if not is_behind(state, version, at):",
+                "if True:",
+            ),
         ),
     ),
     Mutation(
