--- a/script/sabotage.py
+++ b/script/sabotage.py
@@ -261,6 +261,11 @@
                 "if not is_behind(state, version, at):",
                 "if True:",
             ),
+            Edit(
+                f"{_CORE}/confirmation/handling.py",
+                "if not is_final or is_confirmed(state, now, event):",
+                "if True:",
+            ),
         ),
     ),
     Mutation(
